--- /dev/null
+++ b/gypsumhub/config/revision.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace gypsumhub {
+
+/// SHA-256 of a chunk or of a revision header.
+struct content_hash {
+    std::array<std::byte, 32> bytes {};
+
+    auto operator<=>(const content_hash&) const = default;
+};
+
+/// Lower-case hexadecimal, 64 characters.
+auto toHex(const content_hash&) -> std::string;
+
+/// Identity of an accepted configuration. `hash` covers the parent's hash, so that equal ids mean equal histories.
+struct revision_id {
+    /// 0 means "no configuration yet".
+    uint64_t number { 0 };
+    content_hash hash;
+
+    auto operator<=>(const revision_id&) const = default;
+};
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/core/rcu_cell.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "gypsumhub/core/rcu_domain.h"
+
+#include <atomic>
+#include <memory>
+#include <utility>
+
+namespace gypsumhub {
+
+/// Holds the current version of an immutable object. Readers take no lock; writers wait until no reader can hold the old version's cell.
+template <typename T>
+class rcu_cell {
+public:
+    explicit rcu_cell(std::shared_ptr<const T> initial = nullptr)
+        : m_current(new holder { std::move(initial) })
+    {
+    }
+
+    rcu_cell(const rcu_cell&) = delete;
+    auto operator=(const rcu_cell&) -> rcu_cell& = delete;
+
+    ~rcu_cell() { delete m_current.load(std::memory_order_acquire); }
+
+    /// The current version. Any thread may call this; the result stays valid as long as it is held.
+    auto load() const -> std::shared_ptr<const T>
+    {
+        auto guard = rcu_read_guard {};
+        return m_current.load(std::memory_order_acquire)->value;
+    }
+
+    /// Replaces the version. Blocks until every reader has left the old cell, so it must not be called from a request thread.
+    auto store(std::shared_ptr<const T> next) -> void
+    {
+        auto* previous = m_current.exchange(new holder { std::move(next) }, std::memory_order_acq_rel);
+        rcuSynchronize();
+        delete previous;
+    }
+
+private:
+    struct holder {
+        std::shared_ptr<const T> value;
+    };
+
+    std::atomic<holder*> m_current;
+};
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/core/rcu_domain.cpp
@@ -0,0 +1,56 @@
+#include "gypsumhub/core/rcu_domain.h"
+
+#include <urcu/urcu-memb.h>
+
+#if defined(__SANITIZE_THREAD__)
+#include <sanitizer/tsan_interface.h>
+#endif
+
+namespace gypsumhub {
+
+namespace {
+
+    // liburcu needs each reader thread registered for as long as it may read.
+    struct thread_registration {
+        thread_registration() { urcu_memb_register_thread(); }
+        ~thread_registration() { urcu_memb_unregister_thread(); }
+    };
+
+    [[maybe_unused]] char gracePeriodMarker;
+
+    // The thread sanitizer does not see liburcu's fences; these calls state the order that a grace period gives.
+    auto noteReadEnd() -> void
+    {
+#if defined(__SANITIZE_THREAD__)
+        __tsan_release(&gracePeriodMarker);
+#endif
+    }
+
+    auto noteGracePeriodEnd() -> void
+    {
+#if defined(__SANITIZE_THREAD__)
+        __tsan_acquire(&gracePeriodMarker);
+#endif
+    }
+
+} // namespace
+
+rcu_read_guard::rcu_read_guard()
+{
+    static thread_local auto registration = thread_registration {};
+    urcu_memb_read_lock();
+}
+
+rcu_read_guard::~rcu_read_guard()
+{
+    noteReadEnd();
+    urcu_memb_read_unlock();
+}
+
+auto rcuSynchronize() -> void
+{
+    urcu_memb_synchronize_rcu();
+    noteGracePeriodEnd();
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/decision/command.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "gypsumhub/decision/evidence.h"
+#include "gypsumhub/decision/routing_snapshot.h"
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace gypsumhub {
+
+/// Request threads shall use this snapshot from now on.
+struct publish_snapshot_command {
+    std::shared_ptr<const routing_snapshot> snapshot;
+};
+
+/// Send one health probe on a new connection and report it as an attempt with `probe` set.
+struct start_probe_command {
+    service_key service;
+    vm_key target;
+    endpoint address;
+    time_point deadline;
+};
+
+/// Tell the other members of the service's serving group.
+struct send_evidence_command {
+    std::vector<node_key> receivers;
+    std::vector<evidence> items;
+};
+
+/// Close the idle connections to a target; those in use finish.
+struct close_idle_connections_command {
+    vm_key target;
+};
+
+/// A target changed state; for logs, metrics and `explain`.
+struct state_change_command {
+    service_key service;
+    vm_key target;
+    health_state from { health_state::Healthy };
+    health_state to { health_state::Healthy };
+    /// Why, in one line for people, with the evidence's numbers.
+    std::string reason;
+};
+
+/// Everything that the decision core can ask for.
+using decision_command = std::variant<publish_snapshot_command, start_probe_command, send_evidence_command,
+    close_idle_connections_command, state_change_command>;
+
+/// Receives the core's commands in order. The core keeps no reference after the call.
+class command_listener {
+public:
+    virtual ~command_listener() = default;
+    virtual auto onCommand(decision_command) -> void = 0;
+};
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/decision/serving_group.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "gypsumhub/config/configuration.h"
+#include "gypsumhub/core/strong_id.h"
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace gypsumhub {
+
+/// A node that could belong to a serving group.
+struct group_candidate {
+    node_key key;
+    data_centre_index dataCentre;
+};
+
+/// Chooses the serving group of a service by rendezvous hashing: in each data centre the `membersPerDataCentre` candidates
+/// with the highest mixed hash. Losing one candidate changes at most one member. The result is in order of data centre, then rank.
+auto chooseServingGroup(service_key, std::span<const group_candidate>, uint32_t membersPerDataCentre) -> std::vector<node_key>;
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/main/main.cpp
@@ -0,0 +1,4 @@
+auto main() -> int
+{
+    return 0;
+}
--- /dev/null
+++ b/gypsumhub/proxy/attempt_listener.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "gypsumhub/decision/attempt_report.h"
+
+namespace gypsumhub {
+
+/// Hears how each exchange with a target ended. Called from request threads; must not block.
+class attempt_listener {
+public:
+    virtual ~attempt_listener() = default;
+    virtual auto onAttempt(const attempt_report&) -> void = 0;
+};
+
+} // namespace gypsumhub
