--- a/gypsumhub/config/configuration.h
+++ b/gypsumhub/config/configuration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gypsumhub/config/name_table.h"
 #include "gypsumhub/config/revision.h"
 #include "gypsumhub/config/service_rules.h"
 #include "gypsumhub/core/strong_id.h"
@@ -80,14 +81,15 @@
     auto operator==(const caller_spec&) const -> bool = default;
 };
 
-/// Register and rules at one revision: immutable, complete, checked. Maps are keyed by name.
+/// Register and rules at one revision: immutable, complete, checked. Maps are keyed by name. What did not change since
+/// the revision before is shared with it.
 struct configuration {
     revision_id revision;
     std::map<std::string, data_centre_spec, std::less<>> dataCentres;
     std::map<std::string, std::shared_ptr<const service_spec>, std::less<>> services;
     std::map<std::string, node_spec, std::less<>> nodes;
-    std::map<std::string, route_spec, std::less<>> routes;
-    std::map<std::string, caller_spec, std::less<>> callers;
+    name_table<route_spec, &route_spec::pathPrefix> routes;
+    name_table<caller_spec, &caller_spec::name> callers;
 };
 
 } // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/config/ini_document.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "gypsumhub/core/fault.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gypsumhub {
+
+/// One `key = value` line.
+struct ini_pair {
+    std::string key;
+    std::string value;
+    /// Line in the file counted from 1.
+    uint32_t line { 0 };
+};
+
+/// One section: `[KIND NAME]` or `[KIND]`.
+struct ini_section {
+    std::string kind;
+    /// Empty when the header names only a kind.
+    std::string name;
+    /// Line of the header counted from 1.
+    uint32_t line { 0 };
+    std::vector<ini_pair> pairs;
+};
+
+/// A read INI file. Sections and keys keep the order of the file.
+struct ini_document {
+    std::string file;
+    std::vector<ini_section> sections;
+};
+
+/// Reads INI text. Faults carry `code`: lines that are neither header, pair nor comment, pairs before the first
+/// header, keys given twice and sections given twice. All faults of the text are collected before it fails.
+auto parseIni(std::string_view text, std::string_view file, result_code code) -> leaf::result<ini_document>;
+
+/// Reads an INI file whole; fails with `FileUnreadable` when the file cannot be read.
+auto readIni(const std::string& path, result_code code) -> leaf::result<ini_document>;
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/config/node_settings_reader.cpp
@@ -0,0 +1,159 @@
+#include "gypsumhub/config/node_settings_reader.h"
+
+#include "gypsumhub/config/section_reader.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace gypsumhub {
+
+namespace {
+
+    constexpr auto minKeyDigits = size_t { 32 };
+    constexpr auto mostConnections = number_range { 1, 1'000'000 };
+    constexpr auto mostBytes = number_range { 1024, 1024 * 1024 * 1024 };
+
+    auto readNode(section_reader& reader, node_settings& settings) -> void
+    {
+        settings.name = reader.requiredText("name", "write the node's name as in the register");
+        settings.dataCentre = reader.requiredText("data_centre", "write the data centre's name as in the register");
+        settings.callerAddress = reader.requiredAddress("caller_address");
+        settings.peerAddress = reader.requiredAddress("peer_address");
+        settings.operatorAddress = reader.requiredAddress("operator_address");
+    }
+
+    auto readStore(section_reader& reader, node_settings& settings) -> void
+    {
+        settings.storeAddresses = reader.addressList("addresses");
+    }
+
+    auto readList(section_reader& reader, node_settings& settings) -> void
+    {
+        settings.listAddress = reader.address("address").value_or(endpoint {});
+    }
+
+    auto isUsableKey(std::string_view key) -> bool
+    {
+        constexpr auto digits = std::string_view { "0123456789abcdefABCDEF" };
+        return key.size() >= minKeyDigits && key.find_first_not_of(digits) == std::string_view::npos;
+    }
+
+    auto readPeers(section_reader& reader, node_settings& settings) -> void
+    {
+        settings.seedPeers = reader.addressList("seeds");
+        // Two keys may be in force while they are being replaced; a line holds only so many characters.
+        for (auto name : { "key", "previous_key" }) {
+            auto key = reader.text(name);
+            if (!key)
+                continue;
+            if (isUsableKey(*key))
+                settings.peerKeys.push_back(*key);
+            else
+                reader.report(name, std::string("the peer key '") + name + "' cannot be used", "write at least 32 hexadecimal digits");
+        }
+    }
+
+    auto readOperator(section_reader& reader, node_settings& settings) -> void
+    {
+        settings.operatorKey = reader.text("key").value_or("");
+    }
+
+    auto readLimits(section_reader& reader, node_settings& settings) -> void
+    {
+        settings.requestThreads = reader.number("request_threads", { 1, 256 }, settings.requestThreads);
+        settings.maxConnections = reader.number("max_connections", mostConnections, settings.maxConnections);
+        settings.maxHeaderBytes = reader.number("max_header_bytes", mostBytes, settings.maxHeaderBytes);
+        settings.maxBodyBytes = reader.number("max_body_bytes", mostBytes, settings.maxBodyBytes);
+        settings.bufferedAnswerBytes = reader.number("buffered_answer_bytes", mostBytes, settings.bufferedAnswerBytes);
+        settings.requestReadLimit = reader.length("request_read_limit", settings.requestReadLimit);
+        settings.answerLifetime = reader.length("answer_lifetime", settings.answerLifetime);
+        settings.stopLimit = reader.length("stop_limit", settings.stopLimit);
+    }
+
+    auto readLogs(section_reader& reader, node_settings& settings) -> void
+    {
+        settings.log = reader.text("log").value_or("");
+        settings.spanLog = reader.text("span_log").value_or("");
+        settings.traceLog = reader.text("trace_log").value_or("");
+    }
+
+    struct settings_section {
+        std::string_view kind;
+        void (*read)(section_reader&, node_settings&);
+        bool isRequired;
+    };
+
+    constexpr auto settingsSections = std::to_array<settings_section>({
+        { "node", readNode, true },
+        { "store", readStore, false },
+        { "list", readList, false },
+        { "peers", readPeers, false },
+        { "operator", readOperator, false },
+        { "limits", readLimits, false },
+        { "logs", readLogs, false },
+    });
+
+    auto report(fault_list& faults, const ini_document& document, uint32_t line, std::string message, std::string mend) -> void
+    {
+        faults.faults.push_back({ result_code::SettingsInvalid, std::move(message), document.file, line, std::move(mend) });
+    }
+
+    auto readSections(const ini_document& document, node_settings& settings, fault_list& faults) -> void
+    {
+        for (auto& section : document.sections) {
+            auto row = std::ranges::find(settingsSections, section.kind, &settings_section::kind);
+            if (row == settingsSections.end() || !section.name.empty()) {
+                report(faults, document, section.line, "section [" + section.kind + (section.name.empty() ? "" : " " + section.name) + "] is unknown",
+                    "known sections: [node] [store] [list] [peers] [operator] [limits] [logs]");
+                continue;
+            }
+            auto reader = section_reader(section, document.file, result_code::SettingsInvalid, faults);
+            row->read(reader, settings);
+            reader.finish();
+        }
+        for (auto& row : settingsSections) {
+            if (row.isRequired && std::ranges::find(document.sections, row.kind, &ini_section::kind) == document.sections.end())
+                report(faults, document, 0, "section [" + std::string(row.kind) + "] is missing", "add the section");
+        }
+    }
+
+    auto checkTogether(const ini_document& document, const node_settings& settings, fault_list& faults) -> void
+    {
+        if (settings.storeAddresses.empty() && settings.seedPeers.empty())
+            report(faults, document, 0, "the node has nowhere to read its configuration", "name [store] addresses, [peers] seeds or both");
+        auto& caller = settings.callerAddress;
+        auto& peer = settings.peerAddress;
+        if (!caller.address.empty() && (caller == peer || caller == settings.operatorAddress))
+            report(faults, document, 0, "two listening addresses are equal", "give each of caller_address, peer_address and operator_address its own port");
+        else if (!peer.address.empty() && peer == settings.operatorAddress)
+            report(faults, document, 0, "two listening addresses are equal", "give peer_address and operator_address each its own port");
+    }
+
+    auto buildNodeSettings(const ini_document& document) -> leaf::result<node_settings>
+    {
+        auto settings = node_settings {};
+        auto faults = fault_list {};
+        readSections(document, settings, faults);
+        checkTogether(document, settings, faults);
+        if (faults.faults.empty())
+            return settings;
+        std::ranges::stable_sort(faults.faults, {}, &fault::line);
+        return leaf::new_error(std::move(faults));
+    }
+
+} // namespace
+
+auto parseNodeSettings(std::string_view text, std::string_view file) -> leaf::result<node_settings>
+{
+    BOOST_LEAF_AUTO(document, parseIni(text, file, result_code::SettingsInvalid));
+    return buildNodeSettings(document);
+}
+
+auto readNodeSettings(const std::string& path) -> leaf::result<node_settings>
+{
+    BOOST_LEAF_AUTO(document, readIni(path, result_code::SettingsInvalid));
+    return buildNodeSettings(document);
+}
+
+} // namespace gypsumhub
--- a/gypsumhub/platform/store.h
+++ b/gypsumhub/platform/store.h
@@ -34,6 +34,9 @@
         -> leaf::result<uint64_t>
         = 0;
 
+    /// Removes the key; an absent key is no fault. Only for keys that nothing refers to any more.
+    virtual auto remove(std::string_view key, time_point deadline) -> leaf::result<void> = 0;
+
     /// Takes or renews a lease named `name`, valid until the returned instant; nothing when another holds it.
     virtual auto acquireLease(std::string_view name, std::string_view holder, time_point validUntil, time_point deadline)
         -> leaf::result<std::optional<time_point>>
