--- /dev/null
+++ b/gypsumhub/decision/blackboard.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "gypsumhub/core/random_generator.h"
+#include "gypsumhub/decision/decision_settings.h"
+#include "gypsumhub/decision/service_record.h"
+
+#include <memory>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace gypsumhub {
+
+/// Everything that a decision core knows. Controllers read and write it; nothing else does.
+class blackboard {
+public:
+    explicit blackboard(const decision_settings&);
+
+    /// The service with this key, or null.
+    auto findService(service_key) -> service_record*;
+    /// The service with this key, or null.
+    auto findService(service_key) const -> const service_record*;
+    /// Rebuilds the index after `services` changed.
+    auto indexServices() -> void;
+    /// Asks the controllers to look at a service before the current event ends.
+    auto markChanged(service_record&) -> void;
+
+    decision_settings settings;
+    random_generator random;
+    std::shared_ptr<const configuration> config;
+    /// In order of key.
+    std::vector<service_record> services;
+    /// Whether services, groups or configuration changed since the last snapshot.
+    bool unpublished { false };
+    /// Positions in `services` of those marked as changed.
+    std::vector<size_t> changedServices;
+
+    /// Nodes believed alive, in order of key; meaningless until `membershipKnown`.
+    std::vector<node_key> alive;
+    bool membershipKnown { false };
+
+    /// The platform's latest list; meaningless until `listKnown`.
+    std::unordered_set<vm_key> listedLive;
+    std::unordered_set<vm_key> listedLeaving;
+    bool listKnown { false };
+
+    uint64_t snapshotVersion { 0 };
+    /// The latest time seen.
+    time_point now { 0 };
+
+private:
+    std::unordered_map<service_key, size_t> m_index;
+};
+
+} // namespace gypsumhub
--- a/gypsumhub/decision/routing_snapshot.h
+++ b/gypsumhub/decision/routing_snapshot.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -30,6 +31,9 @@
     node_key key;
     endpoint callerAddress;
     uint8_t distance { 0 };
+    std::string dataCentre;
+
+    auto operator==(const member_view&) const -> bool = default;
 };
 
 /// One service as request threads see it.
--- /dev/null
+++ b/gypsumhub/decision/target_record.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "gypsumhub/config/configuration.h"
+#include "gypsumhub/decision/evidence.h"
+#include "gypsumhub/decision/health_state.h"
+#include "gypsumhub/decision/target_load.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace gypsumhub {
+
+/// What the platform's list says about a VM.
+enum class list_status : uint8_t {
+    Live,
+    Leaving,
+    /// Registered and absent from the list.
+    Gone,
+};
+
+/// The latest evidence of one peer about one target.
+struct peer_opinion {
+    node_key sender;
+    evidence item;
+};
+
+/// Sequential test statistics of one target from this node's own exchanges. All scores are in nats.
+struct work_scores {
+    /// CUSUM of "failing" against "healthy"; never below 0.
+    float errorScore { 0 };
+    /// CUSUM of "slow" against "as its siblings"; never below 0.
+    float slowScore { 0 };
+    /// Recent evidence of health, between `-maxCredit` and 0; fades with time.
+    float credit { 0 };
+    uint32_t samples { 0 };
+    uint32_t failuresInRow { 0 };
+    /// Failures in a row that a broken path explains as well as a sick VM.
+    uint32_t pathFailuresInRow { 0 };
+    /// Attempts reported overdue whose final report is still to come.
+    uint16_t overdueOpen { 0 };
+    time_point lastSampleAt { 0 };
+    time_point lastSuccessAt { 0 };
+};
+
+/// One target on the blackboard.
+struct target_record {
+    vm_key key;
+    endpoint address;
+    std::string name;
+    std::string dataCentre;
+    uint16_t slots { 0 };
+    uint8_t distance { 0 };
+    uint16_t slotShare { 0 };
+    std::shared_ptr<target_load> load;
+
+    list_status listed { list_status::Live };
+    /// Until when the target's own draining answer counts, here or at a peer.
+    time_point drainingUntil { 0 };
+    /// Until when a newly live VM is granted its cold start.
+    time_point graceUntil { 0 };
+
+    health_state state { health_state::Healthy };
+    uint16_t weight { 1000 };
+    /// Whether trouble is with this node's path to the target and not with the VM.
+    bool pathSuspect { false };
+    /// Whether the evidence suffices for ejection, whatever the floor allows.
+    bool convicted { false };
+    /// Why the target is in its state, for people.
+    std::string reason;
+
+    work_scores scores;
+    std::vector<peer_opinion> opinions;
+
+    /// Until when an ejected target gets no trial.
+    time_point setAsideUntil { 0 };
+    /// Ejections that have not been forgotten yet.
+    uint32_t recentEjections { 0 };
+    /// When the oldest remembered ejection is forgotten.
+    time_point forgiveAt { 0 };
+    time_point nextProbeAt { 0 };
+    /// When an unanswered probe is given up; 0 when none is out.
+    time_point probeDeadline { 0 };
+    uint32_t probesPassed { 0 };
+    uint32_t trialSuccesses { 0 };
+
+    /// What the group was told last.
+    evidence lastSent;
+    /// When the last message loses its validity and must be repeated if it still holds.
+    time_point resendAt { 0 };
+};
+
+/// Whether request threads may give the target work.
+inline auto isInRotation(const target_record& target) -> bool
+{
+    return target.state != health_state::Ejected && target.state != health_state::Leaving;
+}
+
+/// Whether the target is leaving or gone, by the platform's list or by its own word.
+inline auto isDeparting(const target_record& target, time_point now) -> bool
+{
+    return target.listed != list_status::Live || target.drainingUntil > now;
+}
+
+} // namespace gypsumhub
