--- /dev/null
+++ b/gypsumhub/decision/request/idempotency_rules.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "gypsumhub/config/service_rules.h"
+
+#include <string_view>
+
+namespace gypsumhub {
+
+/// Whether the rules say that a request must run at most once. `path` may carry a query. A path that matches only after
+/// percent-decoding or removal of "." and ".." and empty segments counts as matching, since the target may read it so.
+auto isNonIdempotent(const service_rules&, std::string_view method, std::string_view path) -> bool;
+
+} // namespace gypsumhub
