--- a/gypsumhub/config/service_rules_reader.cpp
+++ b/gypsumhub/config/service_rules_reader.cpp
@@ -48,7 +48,8 @@
         // "none" has to be written out, so that an emptied line does not make everything repeatable.
         if (*value == "none")
             return patterns;
-        for (auto& part : splitList(*value)) {
+        auto parts = splitList(*value);
+        for (auto& part : parts) {
             auto blank = std::min(part.find(' '), part.size());
             auto method = part.substr(0, blank);
             auto path = part.substr(std::min(part.find_first_not_of(' ', blank), part.size()));
