--- /dev/null
+++ b/fakes/fake_http_server.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "gypsumhub/core/time_point.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace gypsumhub {
+
+/// A request target taken apart: `/path?name=value&name=value`.
+struct fake_http_target {
+    std::string path;
+    std::map<std::string, std::string, std::less<>> query;
+
+    /// The value of a query parameter as a number, or `fallback`.
+    auto number(std::string_view name, int64_t fallback) const -> int64_t;
+    auto text(std::string_view name) const -> std::string;
+};
+
+auto parseHttpTarget(std::string_view) -> fake_http_target;
+
+/// What a stand-in does with a request.
+struct fake_http_answer {
+    unsigned status { 200 };
+    std::string body {};
+    /// Time before the answer is sent.
+    duration delay {};
+    /// The connection is closed without an answer.
+    bool closes { false };
+    /// When set, the answer is an endless stream of lines: called every few milliseconds for the next line, if there is one.
+    std::function<std::optional<std::string>()> nextLine {};
+};
+
+using fake_http_handler = std::function<fake_http_answer(boost::beast::http::verb, const fake_http_target&, const std::string& body)>;
+
+/// Serves HTTP/1.1 on a loopback address with one handler, on the threads that run the context.
+class fake_http_server {
+public:
+    /// Port 0 takes a free one.
+    fake_http_server(boost::asio::io_context&, const std::string& address, uint16_t port, fake_http_handler);
+
+    auto port() const -> uint16_t;
+
+private:
+    auto accept() -> void;
+
+    boost::asio::io_context& m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    fake_http_handler m_handler;
+};
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/platform/call_budget.cpp
@@ -0,0 +1,30 @@
+#include "gypsumhub/platform/call_budget.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace gypsumhub {
+
+call_budget::call_budget(settings limits)
+    : m_interval(seconds(1) / std::max<uint32_t>(limits.callsPerSecond, 1))
+    , m_tolerance(m_interval * (std::max<uint32_t>(limits.burst, 1) - 1))
+{
+}
+
+auto call_budget::take(time_point now) -> bool
+{
+    if (now < nextAllowed()) {
+        ++m_refused;
+        return false;
+    }
+    m_paidUntil = std::max(m_paidUntil, now) + m_interval;
+    ++m_taken;
+    return true;
+}
+
+auto call_budget::nextAllowed() const -> time_point
+{
+    return m_paidUntil - m_tolerance;
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/platform/http_connection.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "gypsumhub/config/configuration.h"
+#include "gypsumhub/core/time_point.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace gypsumhub {
+
+/// How far an HTTP exchange came.
+enum class http_progress : uint8_t {
+    /// No connection; nothing was sent.
+    NotSent,
+    /// The request may have been received; no complete answer.
+    Sent,
+    /// The same, because the deadline passed.
+    TimedOut,
+    /// The answer is complete.
+    Answered,
+};
+
+/// The end of an HTTP exchange. `status` and `body` are set when `progress` is `Answered`.
+struct http_reply {
+    http_progress progress { http_progress::NotSent };
+    unsigned status { 0 };
+    std::string body;
+};
+
+/// One HTTP request of the platform adapters.
+struct http_request {
+    boost::beast::http::verb method { boost::beast::http::verb::get };
+    std::string_view path;
+    std::string_view body;
+};
+
+/// A blocking HTTP/1.1 client connection with absolute deadlines, kept open between exchanges. Used by one thread at a time.
+class http_connection {
+public:
+    explicit http_connection(endpoint);
+
+    /// One request with its whole answer, at the latest by `deadline`.
+    auto exchange(const http_request&, time_point deadline) -> http_reply;
+
+    /// Sends a request whose answer is a stream of lines and hands over each line until `onLine` returns false, the stream
+    /// ends or the deadline passes. The connection is closed afterwards.
+    auto stream(const http_request&, time_point deadline, const std::function<bool(std::string_view)>& onLine) -> http_reply;
+
+    auto address() const -> const endpoint& { return m_address; }
+
+private:
+    using response_parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    /// Runs one asynchronous operation to its end. `start` receives the handler to call.
+    template <typename Start>
+    auto run(time_point deadline, Start start) -> boost::beast::error_code;
+    auto connect(time_point deadline) -> boost::beast::error_code;
+    auto send(const http_request&, time_point deadline) -> std::optional<http_reply>;
+    auto failed(boost::beast::error_code) -> http_reply;
+    auto close() -> void;
+
+    endpoint m_address;
+    boost::asio::io_context m_context { 1 };
+    boost::beast::tcp_stream m_stream;
+    boost::beast::flat_buffer m_buffer;
+    bool m_isOpen { false };
+    /// An idle connection is not used again after this instant, since the other side may be about to close it.
+    time_point m_reuseUntil;
+};
+
+} // namespace gypsumhub
--- /dev/null
+++ b/unit_tests/platform/etcd_store_test.cpp
@@ -0,0 +1,139 @@
+#include "gypsumhub/platform/etcd_store.h"
+
+#include "fakes/fake_store_server.h"
+#include "fakes/faults_of.h"
+#include "gypsumhub/core/clock.h"
+
+#include <boost/asio/post.hpp>
+#include <doctest/doctest.h>
+#include <future>
+#include <thread>
+
+namespace gypsumhub {
+
+namespace {
+
+    /// A store stand-in on a thread of its own.
+    struct running_store {
+        running_store()
+            : server(context, "127.0.0.1", 0)
+            , thread([this] { context.run(); })
+        {
+        }
+
+        ~running_store()
+        {
+            context.stop();
+            thread.join();
+        }
+
+        auto address() const -> endpoint { return { "127.0.0.1", server.port() }; }
+
+        /// Runs `action` on the server's thread and waits for it.
+        template <typename Action>
+        auto onServer(Action action) -> void
+        {
+            auto done = std::promise<void> {};
+            boost::asio::post(context, [&] { action(server.state()); done.set_value(); });
+            done.get_future().wait();
+        }
+
+        boost::asio::io_context context { 1 };
+        fake_store_server server;
+        std::thread thread;
+    };
+
+    auto soon() -> time_point
+    {
+        return wallClockNow() + seconds(20);
+    }
+
+} // namespace
+
+TEST_CASE("get, compare-and-swap, remove and watch work over the JSON mapping")
+{
+    auto running = running_store();
+    auto tested = etcd_store({ { running.address() } });
+    CHECK_FALSE(tested.get("head", soon()).value().has_value());
+    auto binary = std::string("\x00\xff\x01 value", 9);
+    auto first = tested.compareAndSwap("head", 0, binary, soon()).value();
+    auto entry = tested.get("head", soon()).value().value();
+    CHECK(entry.value == binary);
+    CHECK(entry.modRevision == first);
+    CHECK((codeOf([&] { return tested.compareAndSwap("head", 0, "other", soon()); }) == result_code::StoreCompareFailed));
+
+    auto second = tested.compareAndSwap("head", first, "second", soon()).value();
+    auto seen = tested.watch("head", first, soon()).value().value();
+    CHECK(seen.modRevision == second);
+    CHECK(seen.value == "second");
+
+    CHECK(static_cast<bool>(tested.remove("head", soon())));
+    CHECK_FALSE(tested.get("head", soon()).value().has_value());
+    auto counts = tested.callCounts();
+    CHECK(counts == store_call_counts { 3, 3, 1, 0, 1, 0 });
+    running.onServer([&](auto& state) { CHECK(state.counts == counts); });
+}
+
+TEST_CASE("a watch waits for a change that another makes")
+{
+    auto running = running_store();
+    auto writer = etcd_store({ { running.address() } });
+    auto reader = etcd_store({ { running.address() } });
+    auto first = writer.compareAndSwap("head", 0, "first", soon()).value();
+    auto seen = std::string {};
+    auto watching = std::thread([&] { seen = reader.watch("head", first, soon()).value().value().value; });
+    writer.compareAndSwap("head", first, "second", soon()).value();
+    watching.join();
+    CHECK(seen == "second");
+}
+
+TEST_CASE("a lost reply is reported as such and the write has taken effect")
+{
+    auto running = running_store();
+    auto tested = etcd_store({ { running.address() } });
+    running.onServer([](auto& state) { state.faults.lostReplies = 1; });
+    CHECK((codeOf([&] { return tested.compareAndSwap("head", 0, "value", soon()); }) == result_code::StoreReplyLost));
+    // The endpoint is in backoff now; a fresh adapter reads at once.
+    auto other = etcd_store({ { running.address() } });
+    CHECK(other.get("head", soon()).value().value().value == "value");
+}
+
+TEST_CASE("an endpoint that refuses connections is passed over, and alone makes the store unavailable")
+{
+    auto running = running_store();
+    // A listener that was closed again leaves a port that refuses.
+    auto closedPort = [] {
+        auto context = boost::asio::io_context(1);
+        return boost::asio::ip::tcp::acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 }).local_endpoint().port();
+    }();
+    auto closed = endpoint { "127.0.0.1", closedPort };
+    auto two = etcd_store({ { closed, running.address() } });
+    CHECK(two.compareAndSwap("head", 0, "value", soon()).has_value());
+    auto one = etcd_store({ { closed } });
+    CHECK((codeOf([&] { return one.get("head", soon()); }) == result_code::StoreUnavailable));
+    CHECK((codeOf([&] { return one.get("head", soon()); }) == result_code::StoreUnavailable));
+}
+
+TEST_CASE("calls beyond the budget are refused, counted and never sent")
+{
+    auto running = running_store();
+    auto tested = etcd_store({ { running.address() }, { 1, 3 } });
+    for (auto call = 0; call < 3; ++call)
+        CHECK(tested.get("head", soon()).has_value());
+    CHECK((codeOf([&] { return tested.get("head", soon()); }) == result_code::StoreBudgetSpent));
+    CHECK(tested.callCounts().refused == 1);
+    running.onServer([](auto& state) { CHECK(state.counts.gets == 3); });
+}
+
+TEST_CASE("a lease belongs to one holder until it lapses")
+{
+    auto running = running_store();
+    auto one = etcd_store({ { running.address() } });
+    auto two = etcd_store({ { running.address() } });
+    auto until = wallClockNow() + seconds(60);
+    CHECK(one.acquireLease("reader", "one", until, soon()).value().has_value());
+    CHECK_FALSE(two.acquireLease("reader", "two", until, soon()).value().has_value());
+    CHECK(one.acquireLease("reader", "one", until, soon()).value().has_value());
+}
+
+} // namespace gypsumhub
