--- a/gypsumhub/decision/blackboard.cpp
+++ b/gypsumhub/decision/blackboard.cpp
@@ -31,6 +31,29 @@
     }
 }
 
+auto blackboard::changeState(service_record& service, target_record& target, health_state next, std::string reason) -> void
+{
+    if (target.state == next)
+        return;
+    outbox.emplace_back(state_change_command { service.spec->key, target.key, target.state, next, reason });
+    target.state = next;
+    target.reason = std::move(reason);
+    // Idle connections to a target without work only hold its sockets.
+    if (!isInRotation(target))
+        outbox.emplace_back(close_idle_connections_command { target.key });
+    service.unpublished = true;
+    unpublished = true;
+}
+
+auto blackboard::changeWeight(service_record& service, target_record& target, uint16_t weight) -> void
+{
+    if (target.weight == weight)
+        return;
+    target.weight = weight;
+    service.unpublished = true;
+    unpublished = true;
+}
+
 auto blackboard::markChanged(service_record& service) -> void
 {
     if (service.changed)
--- a/gypsumhub/decision/blackboard.h
+++ b/gypsumhub/decision/blackboard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gypsumhub/core/random_generator.h"
+#include "gypsumhub/decision/command.h"
 #include "gypsumhub/decision/decision_settings.h"
 #include "gypsumhub/decision/service_record.h"
 
@@ -22,6 +23,10 @@
     auto findService(service_key) const -> const service_record*;
     /// Rebuilds the index after `services` changed.
     auto indexServices() -> void;
+    /// Moves a target to a state and reports it.
+    auto changeState(service_record&, target_record&, health_state, std::string reason) -> void;
+    /// Gives a target another weight.
+    auto changeWeight(service_record&, target_record&, uint16_t) -> void;
     /// Asks the controllers to look at a service before the current event ends.
     auto markChanged(service_record&) -> void;
 
@@ -44,6 +49,8 @@
     std::unordered_set<vm_key> listedLeaving;
     bool listKnown { false };
 
+    /// Commands to hand out before the event ends.
+    std::vector<decision_command> outbox;
     uint64_t snapshotVersion { 0 };
     /// The latest time seen.
     time_point now { 0 };
--- a/gypsumhub/decision/controllers/group_controller.cpp
+++ b/gypsumhub/decision/controllers/group_controller.cpp
@@ -71,6 +71,7 @@
     service.group = std::move(group);
     service.servedHere = served;
     service.unpublished = true;
+    service.slotsStale = true;
     m_board.markChanged(service);
 }
 
--- a/gypsumhub/decision/controllers/inventory_controller.cpp
+++ b/gypsumhub/decision/controllers/inventory_controller.cpp
@@ -40,6 +40,7 @@
 {
     service.changed = true;
     service.unpublished = true;
+    service.slotsStale = true;
     if (service.spec == spec)
         return;
     auto previous = std::move(service.targets);
@@ -106,6 +107,7 @@
             target.opinions.clear();
         }
         target.listed = status;
+        service.slotsStale = true;
         m_board.markChanged(service);
     }
 }
--- a/gypsumhub/decision/controllers/slot_controller.cpp
+++ b/gypsumhub/decision/controllers/slot_controller.cpp
@@ -51,6 +51,11 @@
 
 auto slot_controller::divide(service_record& service) -> void
 {
+    if (!service.slotsStale)
+        return;
+    service.slotsStale = false;
+    service.unpublished = true;
+    m_board.unpublished = true;
     if (service.group.empty()) {
         // Nobody to share with.
         for (auto& target : service.targets)
--- a/gypsumhub/decision/decision_core.cpp
+++ b/gypsumhub/decision/decision_core.cpp
@@ -1,10 +1,17 @@
 #include "gypsumhub/decision/decision_core.h"
 
 #include "gypsumhub/decision/blackboard.h"
+#include "gypsumhub/decision/controllers/evidence_controller.h"
+#include "gypsumhub/decision/controllers/floor_controller.h"
 #include "gypsumhub/decision/controllers/group_controller.h"
+#include "gypsumhub/decision/controllers/health_controller.h"
 #include "gypsumhub/decision/controllers/inventory_controller.h"
 #include "gypsumhub/decision/controllers/slot_controller.h"
 #include "gypsumhub/decision/controllers/snapshot_controller.h"
+#include "gypsumhub/decision/controllers/tick_controller.h"
+#include "gypsumhub/decision/controllers/trial_controller.h"
+#include "gypsumhub/decision/controllers/work_controller.h"
+#include "gypsumhub/decision/explanation.h"
 
 #include <algorithm>
 
@@ -22,25 +29,21 @@
         groups.chooseGroups();
     }
 
-    auto on(const attempt_event&) -> void { }
+    auto on(const attempt_event& event) -> void { work.onAttempt(event.report); }
     auto on(const vm_list_event& event) -> void { inventory.onVmList(event); }
+    /// Load and health reports lag and mislead: they neither eject nor shield.
     auto on(const load_report_event&) -> void { }
     auto on(const membership_event& event) -> void { groups.onMembership(event); }
-    auto on(const evidence_event&) -> void { }
-    auto on(const peer_lost_event&) -> void { }
-    auto on(const tick_event&) -> void { }
+    auto on(const evidence_event& event) -> void { peers.onEvidence(event); }
+    auto on(const peer_lost_event& event) -> void { peers.onPeerLost(event); }
+    auto on(const tick_event&) -> void { ticks.onTick(); }
 
     auto divideSlots(service_record& service) -> void { slots.divide(service); }
-
-    auto followListing(service_record& service) -> void
-    {
-        for (auto& target : service.targets) {
-            auto next = isDeparting(target, board.now) ? health_state::Leaving : health_state::Healthy;
-            target.state = next;
-        }
-        service.unpublished = true;
-        board.unpublished = true;
-    }
+    auto expireEvidence(service_record& service) -> void { peers.expire(service); }
+    auto judgeHealth(service_record& service) -> void { health.judge(service); }
+    auto applyFloor(service_record& service) -> void { floor.apply(service); }
+    auto advanceTrials(service_record& service) -> void { trials.advance(service); }
+    auto shareEvidence(service_record& service) -> void { peers.share(service); }
 
     /// Runs every step over the services that the event touched.
     auto runSteps() -> void
@@ -58,14 +61,32 @@
     /// What is done to a changed service, in this order.
     static constexpr service_step steps[] = {
         &implementation::divideSlots,
-        &implementation::followListing,
+        &implementation::expireEvidence,
+        &implementation::judgeHealth,
+        &implementation::applyFloor,
+        &implementation::advanceTrials,
+        &implementation::shareEvidence,
     };
 
+    /// Hands out what the controllers ask for, the snapshot last.
+    auto flush(command_listener& listener) -> void
+    {
+        for (auto& command : board.outbox)
+            listener.onCommand(std::move(command));
+        board.outbox.clear();
+        snapshots.publish(listener);
+    }
+
     blackboard board;
-    command_listener* listener { nullptr };
     inventory_controller inventory { board };
     group_controller groups { board };
     slot_controller slots { board };
+    work_controller work { board };
+    trial_controller trials { board };
+    health_controller health { board, trials };
+    floor_controller floor { board };
+    evidence_controller peers { board, trials };
+    tick_controller ticks { board };
     snapshot_controller snapshots { board };
 };
 
@@ -80,10 +101,9 @@
 {
     auto& core = *m_implementation;
     core.board.now = std::max(core.board.now, now);
-    core.listener = &listener;
     std::visit([&](auto& typed) { core.on(typed); }, event);
     core.runSteps();
-    core.snapshots.publish(listener);
+    core.flush(listener);
 }
 
 auto decision_core::board() const -> const blackboard&
@@ -91,15 +111,9 @@
     return m_implementation->board;
 }
 
-auto decision_core::explain(service_key key, time_point) const -> std::string
+auto decision_core::explain(service_key key, time_point now) const -> std::string
 {
-    auto* service = board().findService(key);
-    if (!service)
-        return "unknown service\n";
-    auto text = std::string {};
-    for (auto& target : service->targets)
-        text += target.name + " " + toString(target.state) + "\n";
-    return text;
+    return explainService(board(), key, now);
 }
 
 } // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/decision/detection_thresholds.cpp
@@ -0,0 +1,21 @@
+#include "gypsumhub/decision/detection_thresholds.h"
+
+namespace gypsumhub {
+
+auto thresholdsFor(ejection_preference preference) -> const detection_thresholds&
+{
+    static constexpr auto fast = detection_thresholds { 10, 10, 4.5F, 0 };
+    static constexpr auto balanced = detection_thresholds { 12, 13, 5.5F, 0.3F };
+    static constexpr auto few = detection_thresholds { 14, 16, 6, 0.5F };
+    switch (preference) {
+    case ejection_preference::FastDetection:
+        return fast;
+    case ejection_preference::FewFalseEjections:
+        return few;
+    case ejection_preference::Balanced:
+        break;
+    }
+    return balanced;
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/decision/detection_thresholds.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "gypsumhub/config/service_rules.h"
+
+namespace gypsumhub {
+
+/// Scores, in nats, at which the node acts; from `service_rules::preference`.
+struct detection_thresholds {
+    /// Error score that ejects.
+    float errorEjects { 0 };
+    /// Slow score that ejects.
+    float slowEjects { 0 };
+    /// Score of either kind that demotes.
+    float demotes { 0 };
+    /// Share of the score from silent reused connections that is left out until a new connection fails too.
+    float connectionDiscount { 0 };
+};
+
+/// The thresholds of one preference.
+auto thresholdsFor(ejection_preference) -> const detection_thresholds&;
+
+/// Score below which a demoted target is healthy again.
+constexpr auto restoringScore = 1.5F;
+/// Score from which the group is told.
+constexpr auto tellingScore = 3.0F;
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/decision/explanation.cpp
@@ -0,0 +1,38 @@
+#include "gypsumhub/decision/explanation.h"
+
+#include "gypsumhub/decision/controllers/health_controller.h"
+
+namespace gypsumhub {
+
+namespace {
+
+    auto explainTarget(const target_record& target, const detection_thresholds& thresholds, time_point now) -> std::string
+    {
+        auto pooled = poolEvidence(target, thresholds, now);
+        auto line = target.name + ": " + toString(target.state) + ", weight " + std::to_string(target.weight) + ", slots "
+            + std::to_string(target.slotShare) + " of " + std::to_string(target.slots) + "; " + describeScores(target, pooled);
+        if (target.graceUntil > now)
+            line += "; starting cold for " + std::to_string((target.graceUntil - now).milliseconds()) + " ms more";
+        if (target.state == health_state::Ejected && target.setAsideUntil > now)
+            line += "; set aside for " + std::to_string((target.setAsideUntil - now).milliseconds()) + " ms more";
+        if (!target.reason.empty())
+            line += "; " + target.reason;
+        return line + "\n";
+    }
+
+} // namespace
+
+auto explainService(const blackboard& board, service_key key, time_point now) -> std::string
+{
+    auto* service = board.findService(key);
+    if (!service)
+        return "unknown service\n";
+    auto text = service->spec->name + ": floor " + std::to_string(service->floorCount()) + " of " + std::to_string(service->targets.size())
+        + (service->troubled ? "; most targets look sick at once, so none is set aside\n" : "\n");
+    auto& thresholds = thresholdsFor(service->spec->rules.preference);
+    for (auto& target : service->targets)
+        text += explainTarget(target, thresholds, now);
+    return text;
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/decision/latency_baseline.cpp
@@ -0,0 +1,146 @@
+#include "gypsumhub/decision/latency_baseline.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gypsumhub {
+
+namespace {
+
+    constexpr auto slowFactor = 3.0F;
+    /// Samples before the histogram says anything.
+    constexpr auto minimumSamples = 40U;
+    /// Samples at one distance before the path's own delay is taken off.
+    constexpr auto minimumPathSamples = 8U;
+    constexpr auto minimumPeriod = seconds(60);
+    /// The histogram forgets half when it reaches this weight.
+    constexpr auto fullWeight = 8000.0F;
+    constexpr auto rebuildEvery = 64U;
+    constexpr auto medianStep = 0.05F;
+    constexpr auto firstMedianStep = 0.5F;
+    constexpr auto likelihoodLimit = 2.0F;
+    /// Weight and spread of the shape assumed before anything is known.
+    constexpr auto priorWeight = 20.0F;
+    constexpr auto priorSpread = 0.7F;
+    constexpr auto overdueTail = 0.001F;
+    constexpr auto shortestOverdue = milliseconds(100);
+    constexpr auto longestOverdue = seconds(5);
+
+    auto binWidth() -> float
+    {
+        static const auto width = std::log(slowFactor) / 4;
+        return width;
+    }
+
+} // namespace
+
+latency_baseline::latency_baseline()
+{
+    for (auto bin = 0; bin < binCount; ++bin) {
+        auto distance = static_cast<float>(bin - medianBin) * binWidth() / priorSpread;
+        m_counts[bin] = std::exp(-distance * distance / 2);
+        m_total += m_counts[bin];
+    }
+    for (auto& count : m_counts)
+        count *= priorWeight / m_total;
+    m_total = priorWeight;
+    rebuild();
+}
+
+auto latency_baseline::slowLikelihood(duration latency, uint8_t distance) const -> float
+{
+    if (m_samples < minimumSamples || m_minimums[distance].samples < minimumPathSamples)
+        return 0;
+    return m_likelihoods[binOf(normalize(latency, distance))];
+}
+
+auto latency_baseline::learn(duration latency, uint8_t distance, time_point now) -> void
+{
+    updateMinimum(latency, distance, now);
+    auto value = normalize(latency, distance);
+    ++m_samples;
+    // The first samples move the median in large steps until it is near the true one.
+    auto step = std::max(medianStep, firstMedianStep / static_cast<float>(m_samples) * 4);
+    if (m_samples == 1)
+        m_median = value;
+    m_median += value > m_median ? step : -step;
+    if (m_samples < minimumSamples / 2)
+        return;
+    m_counts[binOf(value)] += 1;
+    m_total += 1;
+    if (m_total > fullWeight) {
+        for (auto& count : m_counts)
+            count /= 2;
+        m_total /= 2;
+    }
+    if (m_samples % rebuildEvery == 0)
+        rebuild();
+}
+
+auto latency_baseline::overdueAfter() const -> duration
+{
+    if (m_samples < minimumSamples)
+        return seconds(1);
+    // Walk down from the slowest bin until the tail is as large as wanted.
+    auto tail = 0.0F;
+    auto bin = binCount - 1;
+    while (bin > medianBin && tail + m_counts[bin] < overdueTail * m_total)
+        tail += m_counts[bin--];
+    auto edge = m_median + (static_cast<float>(bin - medianBin) + 0.5F) * binWidth();
+    auto slowestPath = int64_t { 0 };
+    for (auto& minimum : m_minimums)
+        slowestPath = minimum.samples >= minimumPathSamples ? std::max(slowestPath, minimum.value()) : slowestPath;
+    auto limit = duration { static_cast<int64_t>(std::exp(edge)) + slowestPath };
+    return std::clamp(limit, shortestOverdue, longestOverdue);
+}
+
+auto latency_baseline::normalize(duration latency, uint8_t distance) const -> float
+{
+    // Take off what the path to farther data centres adds, judged by the least latency seen there.
+    auto nearest = std::min({ m_minimums[0].value(), m_minimums[1].value(), m_minimums[2].value() });
+    auto here = m_minimums[distance].value();
+    auto extra = here == INT64_MAX ? 0 : here - nearest;
+    auto rest = std::max(latency.ns - extra, latency.ns / 4);
+    return std::log(static_cast<float>(std::max<int64_t>(rest, 1000)));
+}
+
+auto latency_baseline::updateMinimum(duration latency, uint8_t distance, time_point now) -> void
+{
+    auto& minimum = m_minimums[distance];
+    ++minimum.samples;
+    if (now >= minimum.periodEnd) {
+        minimum.previous = minimum.current;
+        minimum.current = INT64_MAX;
+        minimum.periodEnd = now + minimumPeriod;
+    }
+    minimum.current = std::min(minimum.current, latency.ns);
+}
+
+auto latency_baseline::binOf(float logLatency) const -> size_t
+{
+    auto bin = static_cast<int>(std::lround((logLatency - m_median) / binWidth())) + medianBin;
+    return static_cast<size_t>(std::clamp(bin, 0, binCount - 1));
+}
+
+auto latency_baseline::rebuild() -> void
+{
+    // Smooth over neighbours, so that a thin histogram gives no wild ratios.
+    auto smooth = std::array<float, binCount> {};
+    for (auto bin = 0; bin < binCount; ++bin) {
+        auto below = m_counts[std::max(bin - 1, 0)];
+        auto above = m_counts[std::min(bin + 1, binCount - 1)];
+        smooth[bin] = (below + 2 * m_counts[bin] + above) / 4 + m_total * 1e-4F;
+    }
+    for (auto bin = 0; bin < binCount; ++bin) {
+        auto ratio = std::log(smooth[std::max(bin - slowShift, 0)] / smooth[bin]);
+        m_likelihoods[bin] = std::clamp(ratio, -likelihoodLimit, likelihoodLimit);
+    }
+    // Above the median, a slower answer never speaks more for health than a faster one.
+    for (auto bin = medianBin + 1; bin < binCount; ++bin)
+        m_likelihoods[bin] = std::max(m_likelihoods[bin], m_likelihoods[bin - 1]);
+    // A fast answer is as good as any other.
+    for (auto bin = medianBin - 1; bin >= 0; --bin)
+        m_likelihoods[bin] = std::min(m_likelihoods[bin], 0.0F);
+}
+
+} // namespace gypsumhub
--- a/gypsumhub/decision/service_record.h
+++ b/gypsumhub/decision/service_record.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "gypsumhub/config/configuration.h"
+#include "gypsumhub/decision/failure_baseline.h"
+#include "gypsumhub/decision/latency_baseline.h"
 #include "gypsumhub/decision/routing_snapshot.h"
 #include "gypsumhub/decision/target_record.h"
 
@@ -19,6 +21,15 @@
     std::vector<member_view> group;
     bool servedHere { true };
     duration overdueAfter { seconds(1) };
+    latency_baseline latencies;
+    failure_baseline failures;
+    /// Exchanges since the last full second and the smoothed rate per second that follows from them.
+    uint32_t recentExchanges { 0 };
+    float exchangesPerSecond { 0 };
+    /// Whether most targets look sick at once: the trouble is the service's, not one VM's.
+    bool troubled { false };
+    /// Whether slot shares must be divided anew.
+    bool slotsStale { true };
     /// Whether controllers must look at the service again before the next snapshot.
     bool changed { true };
     /// Whether the snapshot differs from the record.
@@ -28,6 +39,8 @@
     auto findTarget(vm_key) -> target_record*;
     /// The target with this key, or null.
     auto findTarget(vm_key) const -> const target_record*;
+    /// Time in which the whole group has about twenty exchanges with one target.
+    auto evidenceWindow() const -> duration;
     /// Least number of registered targets that stay in rotation by the operators' rule.
     auto floorCount() const -> size_t;
 };
--- a/gypsumhub/decision/target_record.h
+++ b/gypsumhub/decision/target_record.h
@@ -32,14 +32,18 @@
     float errorScore { 0 };
     /// CUSUM of "slow" against "as its siblings"; never below 0.
     float slowScore { 0 };
+    /// Part of `errorScore` that rests on silence of reused connections.
+    float connectionScore { 0 };
     /// Recent evidence of health, between `-maxCredit` and 0; fades with time.
     float credit { 0 };
     uint32_t samples { 0 };
     uint32_t failuresInRow { 0 };
-    /// Failures in a row that a broken path explains as well as a sick VM.
-    uint32_t pathFailuresInRow { 0 };
+    /// Whether the latest failures are all of the kind that a broken path explains as well as a sick VM.
+    bool pathLike { false };
     /// Attempts reported overdue whose final report is still to come.
     uint16_t overdueOpen { 0 };
+    /// When suspicion that no further failure confirmed is halved.
+    time_point fadeAt { 0 };
     time_point lastSampleAt { 0 };
     time_point lastSuccessAt { 0 };
 };
@@ -63,6 +67,8 @@
 
     health_state state { health_state::Healthy };
     uint16_t weight { 1000 };
+    /// Until when conviction waits for what the group says about a path-like failure.
+    time_point askUntil { 0 };
     /// Whether trouble is with this node's path to the target and not with the VM.
     bool pathSuspect { false };
     /// Whether the evidence suffices for ejection, whatever the floor allows.
@@ -73,6 +79,8 @@
     work_scores scores;
     std::vector<peer_opinion> opinions;
 
+    /// The pooled score that led to the latest ejection.
+    float ejectionScore { 0 };
     /// Until when an ejected target gets no trial.
     time_point setAsideUntil { 0 };
     /// Ejections that have not been forgotten yet.
@@ -80,10 +88,16 @@
     /// When the oldest remembered ejection is forgotten.
     time_point forgiveAt { 0 };
     time_point nextProbeAt { 0 };
-    /// When an unanswered probe is given up; 0 when none is out.
-    time_point probeDeadline { 0 };
+    /// Whether a new connection should be tried although the target is in rotation.
+    bool probeWanted { false };
+    /// When connections to the target may next be closed for silence.
+    time_point nextCloseAt { 0 };
+    /// When a peer that accuses the target may next be told otherwise.
+    time_point nextReplyAt { 0 };
     uint32_t probesPassed { 0 };
     uint32_t trialSuccesses { 0 };
+    /// Until when a trial lasts at least.
+    time_point trialUntil { 0 };
 
     /// What the group was told last.
     evidence lastSent;
@@ -91,6 +105,9 @@
     time_point resendAt { 0 };
 };
 
+/// Weight of a target that should be out but is kept in by the floor, in thousandths of a full turn.
+constexpr auto convictedWeight = uint16_t { 100 };
+
 /// Whether request threads may give the target work.
 inline auto isInRotation(const target_record& target) -> bool
 {
