--- a/gypsumhub/config/revision.h
+++ b/gypsumhub/config/revision.h
@@ -4,7 +4,9 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace gypsumhub {
 
@@ -18,6 +20,12 @@
 /// Lower-case hexadecimal, 64 characters.
 auto toHex(const content_hash&) -> std::string;
 
+/// Reads what `toHex` writes; nothing when the text is anything else.
+auto parseHash(std::string_view) -> std::optional<content_hash>;
+
+/// SHA-256 of bytes.
+auto hashContent(std::string_view bytes) -> content_hash;
+
 /// Identity of an accepted configuration. `hash` covers the parent's hash, so that equal ids mean equal histories.
 struct revision_id {
     /// 0 means "no configuration yet".
--- /dev/null
+++ b/gypsumhub/platform/configuration_keys.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "gypsumhub/config/revision_header.h"
+
+#include <string>
+
+namespace gypsumhub {
+
+/// Key whose value is the record of the revision in force; the only key that changes by compare-and-swap.
+constexpr auto headKey = "gypsumhub/head";
+
+/// Key of the record of an earlier revision. Written before the head moves on from it.
+inline auto recordKey(uint64_t number) -> std::string { return "gypsumhub/revision/" + std::to_string(number); }
+
+/// Key of a manifest.
+inline auto manifestKey(const content_hash& hash) -> std::string { return "gypsumhub/manifest/" + toHex(hash); }
+
+/// Key of a chunk.
+inline auto chunkKey(const chunk_reference& chunk) -> std::string { return "gypsumhub/chunk/" + toHex(chunk.hash) + '.' + chunk.tag; }
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/platform/configuration_loader.cpp
@@ -0,0 +1,136 @@
+#include "gypsumhub/platform/configuration_loader.h"
+
+#include "gypsumhub/config/revision_chain.h"
+#include "gypsumhub/config/revision_codec.h"
+#include "gypsumhub/platform/configuration_keys.h"
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+namespace gypsumhub {
+
+namespace {
+
+    auto missing(const std::string& key) -> leaf::error_id
+    {
+        return failWith({ result_code::ConfigurationChunkMissing, "the store has no '" + key + "'", {}, 0, "load again; when it lasts, reinstate the fleet's revision" });
+    }
+
+    /// More changes than this are cheaper to load as chunks.
+    constexpr auto maxAppliedRecords = size_t { 256 };
+
+} // namespace
+
+configuration_loader::configuration_loader(store& source)
+    : m_store(source)
+{
+}
+
+auto configuration_loader::load(const std::shared_ptr<const config_revision>& held, time_point deadline) -> leaf::result<std::shared_ptr<const config_revision>>
+{
+    BOOST_LEAF_AUTO(entry, m_store.get(headKey, deadline));
+    if (entry)
+        return follow(held, *entry, deadline);
+    // An empty store under a held revision was put back to before the first change.
+    BOOST_LEAF_CHECK(checkHead(held ? held->id : revision_id {}, {}));
+    return std::shared_ptr<const config_revision> {};
+}
+
+auto configuration_loader::loadNext(const std::shared_ptr<const config_revision>& held, time_point watchDeadline, time_point deadline)
+    -> leaf::result<std::shared_ptr<const config_revision>>
+{
+    BOOST_LEAF_AUTO(entry, m_store.watch(headKey, m_seenModRevision, watchDeadline));
+    if (entry)
+        return follow(held, *entry, deadline);
+    // A watch may be silent although the head changed, or the store may have been put back.
+    return load(held, deadline);
+}
+
+auto configuration_loader::readHead(time_point deadline) -> leaf::result<std::optional<configuration_head>>
+{
+    BOOST_LEAF_AUTO(entry, m_store.get(headKey, deadline));
+    if (!entry)
+        return std::optional<configuration_head> {};
+    BOOST_LEAF_AUTO(record, decodeRecord(entry->value));
+    return configuration_head { std::move(record), entry->modRevision };
+}
+
+auto configuration_loader::follow(const std::shared_ptr<const config_revision>& held, const store_entry& entry, time_point deadline)
+    -> leaf::result<std::shared_ptr<const config_revision>>
+{
+    m_seenModRevision = entry.modRevision;
+    BOOST_LEAF_AUTO(head, decodeRecord(entry.value));
+    if (!held)
+        return loadRecord(head, nullptr, deadline);
+    BOOST_LEAF_CHECK(checkHead(held->id, head.id));
+    if (head.id == held->id)
+        return held;
+
+    // Collect what lies between, oldest first, and verify that it leads here from the held revision.
+    BOOST_LEAF_AUTO(records, readHistory(head, held->id.number + 1, deadline));
+    std::ranges::reverse(records);
+    records.push_back(head);
+    BOOST_LEAF_CHECK(verifyChain(held->id, records));
+    auto haveDeltas = std::ranges::all_of(records, [](auto& record) { return record.delta.has_value(); });
+    if (!haveDeltas || records.size() > maxAppliedRecords)
+        return loadRecord(head, held, deadline);
+    auto revision = held;
+    for (auto& record : records) {
+        BOOST_LEAF_ASSIGN(revision, applyRecord(revision, record));
+    }
+    return revision;
+}
+
+auto configuration_loader::loadRecord(const revision_record& record, const std::shared_ptr<const config_revision>& held, time_point deadline)
+    -> leaf::result<std::shared_ptr<const config_revision>>
+{
+    auto key = manifestKey(record.header.manifest);
+    BOOST_LEAF_AUTO(manifestEntry, m_store.get(key, deadline));
+    if (!manifestEntry)
+        return missing(key);
+    BOOST_LEAF_AUTO(manifest, decodeManifest(manifestEntry->value));
+
+    // Take the chunks that are held already; read the others.
+    auto heldChunks = std::unordered_map<std::string, std::shared_ptr<const std::string>> {};
+    for (auto index = size_t { 0 }; held && index < held->chunks.size(); ++index)
+        heldChunks.emplace(toHex(held->manifest.chunks[index].hash), held->chunks[index]);
+    auto chunks = std::vector<std::shared_ptr<const std::string>> {};
+    for (auto& reference : manifest.chunks) {
+        auto found = heldChunks.find(toHex(reference.hash));
+        if (found != heldChunks.end()) {
+            chunks.push_back(found->second);
+            continue;
+        }
+        BOOST_LEAF_AUTO(entry, m_store.get(chunkKey(reference), deadline));
+        if (!entry)
+            return missing(chunkKey(reference));
+        chunks.push_back(std::make_shared<const std::string>(std::move(entry->value)));
+    }
+    auto recent = std::deque<std::shared_ptr<const revision_record>> {};
+    if (held)
+        recent = held->recent;
+    // Records that were passed over leave a gap, which nobody can be served across.
+    if (!recent.empty() && recent.back()->id.hash != record.header.parent)
+        recent.clear();
+    return assembleRevision(record, manifestEntry->value, std::move(chunks), std::move(recent));
+}
+
+auto configuration_loader::readHistory(const revision_record& newest, uint64_t oldest, time_point deadline) -> leaf::result<std::vector<revision_record>>
+{
+    auto records = std::vector<revision_record> {};
+    auto child = revision_header { newest.header };
+    while (child.number > 1 && child.number > oldest) {
+        BOOST_LEAF_AUTO(entry, m_store.get(recordKey(child.number - 1), deadline));
+        if (!entry)
+            break;
+        BOOST_LEAF_AUTO(record, decodeRecord(entry->value));
+        if (record.id.hash != child.parent)
+            return failWith({ result_code::ConfigurationForked, "the stored record of revision " + std::to_string(child.number - 1) + " is not the parent of revision " + std::to_string(child.number) });
+        child = record.header;
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+} // namespace gypsumhub
