Add membership: probes over a fixed graph of watchers, indirect checks, suspicion, incarnations, pauses and isolation

Cause: the fleet needs to know who is alive without leases. Change: SWIM over rings (4 in the data centre, 2 in the region, 1 over the fleet), so that a node keeps 7 contacts and probes one a second whatever the fleet's size. Tests in virtual time produce each failure and show that the mechanism matters by turning it off.

--- a/gypsumhub/fleet/peer.capnp
+++ b/gypsumhub/fleet/peer.capnp
@@ -119,13 +119,15 @@
       incarnation @23 :UInt64;
       # 0 when the receiver itself is meant.
       subject @24 :UInt64;
+      claims @25 :List(MemberClaim);
     }
     pingAck :group {
-      sequence @25 :UInt64;
-      incarnation @26 :UInt64;
-      subject @27 :UInt64;
-      reached @28 :Bool;
+      sequence @26 :UInt64;
+      incarnation @27 :UInt64;
+      subject @28 :UInt64;
+      reached @29 :Bool;
+      claims @30 :List(MemberClaim);
     }
-    membership @29 :List(MemberClaim);
+    membership @31 :List(MemberClaim);
   }
 }
--- a/gypsumhub/fleet/peer.capnp.h
+++ b/gypsumhub/fleet/peer.capnp.h
@@ -2513,6 +2513,9 @@
 
   inline  ::uint64_t getSubject() const;
 
+  inline bool hasClaims() const;
+  inline  ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>::Reader getClaims() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2550,6 +2553,13 @@
   inline  ::uint64_t getSubject();
   inline void setSubject( ::uint64_t value);
 
+  inline bool hasClaims();
+  inline  ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>::Builder getClaims();
+  inline void setClaims( ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>::Builder initClaims(unsigned int size);
+  inline void adoptClaims(::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>> disownClaims();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2601,6 +2611,9 @@
 
   inline bool getReached() const;
 
+  inline bool hasClaims() const;
+  inline  ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>::Reader getClaims() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2641,6 +2654,13 @@
   inline bool getReached();
   inline void setReached(bool value);
 
+  inline bool hasClaims();
+  inline  ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>::Builder getClaims();
+  inline void setClaims( ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>::Builder initClaims(unsigned int size);
+  inline void adoptClaims(::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>> disownClaims();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3792,6 +3812,7 @@
   _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename PeerMessage::Ping::Builder(_builder);
 }
 inline bool PeerMessage::Reader::isPingAck() const {
@@ -3817,6 +3838,7 @@
   _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename PeerMessage::PingAck::Builder(_builder);
 }
 inline bool PeerMessage::Reader::isMembership() const {
@@ -4454,6 +4476,40 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerMessage::Ping::Reader::hasClaims() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Ping::Builder::hasClaims() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>::Reader PeerMessage::Ping::Reader::getClaims() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Ping::Builder::getClaims() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Ping::Builder::setClaims( ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Ping::Builder::initClaims(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::Ping::Builder::adoptClaims(
+    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>> PeerMessage::Ping::Builder::disownClaims() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t PeerMessage::PingAck::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
@@ -4510,6 +4566,40 @@
       ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerMessage::PingAck::Reader::hasClaims() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::PingAck::Builder::hasClaims() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>::Reader PeerMessage::PingAck::Reader::getClaims() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>::Builder PeerMessage::PingAck::Builder::getClaims() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::PingAck::Builder::setClaims( ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>::Builder PeerMessage::PingAck::Builder::initClaims(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::PingAck::Builder::adoptClaims(
+    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>> PeerMessage::PingAck::Builder::disownClaims() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::MemberClaim,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/gypsumhub/fleet/peer_codec.cpp
+++ b/gypsumhub/fleet/peer_codec.cpp
@@ -80,6 +80,25 @@
         return { in.getStatus(), asString(in.getHeader()), asString(in.getBody()) };
     }
 
+    auto writeClaims(capnp::List<wire::MemberClaim>::Builder list, std::span<const member_claim> claims) -> void
+    {
+        for (auto index = capnp::uint { 0 }; index < list.size(); ++index) {
+            list[index].setNode(claims[index].node.value);
+            list[index].setIncarnation(claims[index].incarnation);
+            list[index].setState(static_cast<uint8_t>(claims[index].state));
+        }
+    }
+
+    auto readClaims(capnp::List<wire::MemberClaim>::Reader list) -> leaf::result<std::vector<member_claim>>
+    {
+        auto claims = std::vector<member_claim> {};
+        for (auto item : list) {
+            BOOST_LEAF_AUTO(state, readEnum(item.getState(), member_state::Dead));
+            claims.push_back({ { item.getNode() }, item.getIncarnation(), state });
+        }
+        return claims;
+    }
+
     // Writes each kind of message.
     struct message_writer {
         wire::PeerMessage::Builder out;
@@ -168,6 +187,8 @@
             ping.setSequence(message.sequence);
             ping.setIncarnation(message.incarnation);
             ping.setSubject(message.subject ? message.subject->value : 0);
+            if (!message.claims.empty())
+                writeClaims(ping.initClaims(static_cast<capnp::uint>(message.claims.size())), message.claims);
         }
 
         auto operator()(const ping_ack_message& message) -> void
@@ -177,16 +198,13 @@
             ack.setIncarnation(message.incarnation);
             ack.setSubject(message.subject.value);
             ack.setReached(message.reached);
+            if (!message.claims.empty())
+                writeClaims(ack.initClaims(static_cast<capnp::uint>(message.claims.size())), message.claims);
         }
 
         auto operator()(const membership_message& message) -> void
         {
-            auto list = out.initMembership(static_cast<capnp::uint>(message.claims.size()));
-            for (auto index = capnp::uint { 0 }; index < list.size(); ++index) {
-                list[index].setNode(message.claims[index].node.value);
-                list[index].setIncarnation(message.claims[index].incarnation);
-                list[index].setState(static_cast<uint8_t>(message.claims[index].state));
-            }
+            writeClaims(out.initMembership(static_cast<capnp::uint>(message.claims.size())), message.claims);
         }
     };
 
@@ -242,24 +260,28 @@
         return peer_message(revision_part_message { revision, have, in.getPart(), in.getPartCount(), asString(in.getBytes()) });
     }
 
-    auto readPing(wire::PeerMessage::Ping::Reader in) -> peer_message
+    auto readPing(wire::PeerMessage::Ping::Reader in) -> leaf::result<peer_message>
     {
         auto message = ping_message { in.getSequence(), in.getIncarnation(), {} };
         if (in.getSubject() != 0)
             message.subject = node_key { in.getSubject() };
-        return message;
+        BOOST_LEAF_ASSIGN(message.claims, readClaims(in.getClaims()));
+        return peer_message(std::move(message));
     }
 
-    auto readMembership(capnp::List<wire::MemberClaim>::Reader list) -> leaf::result<peer_message>
+    auto readPingAck(wire::PeerMessage::PingAck::Reader in) -> leaf::result<peer_message>
     {
-        auto message = membership_message {};
-        for (auto item : list) {
-            BOOST_LEAF_AUTO(state, readEnum(item.getState(), member_state::Dead));
-            message.claims.push_back({ { item.getNode() }, item.getIncarnation(), state });
-        }
+        auto message = ping_ack_message { in.getSequence(), in.getIncarnation(), { in.getSubject() }, in.getReached() };
+        BOOST_LEAF_ASSIGN(message.claims, readClaims(in.getClaims()));
         return peer_message(std::move(message));
     }
 
+    auto readMembership(capnp::List<wire::MemberClaim>::Reader list) -> leaf::result<peer_message>
+    {
+        BOOST_LEAF_AUTO(claims, readClaims(list));
+        return peer_message(membership_message { std::move(claims) });
+    }
+
 } // namespace
 
 auto writePeerMessage(wire::PeerMessage::Builder out, const peer_message& message) -> void
@@ -290,10 +312,8 @@
         return readPart(in.getRevisionPart());
     case wire::PeerMessage::PING:
         return readPing(in.getPing());
-    case wire::PeerMessage::PING_ACK: {
-        auto ack = in.getPingAck();
-        return peer_message(ping_ack_message { ack.getSequence(), ack.getIncarnation(), { ack.getSubject() }, ack.getReached() });
-    }
+    case wire::PeerMessage::PING_ACK:
+        return readPingAck(in.getPingAck());
     case wire::PeerMessage::MEMBERSHIP:
         return readMembership(in.getMembership());
     }
--- a/gypsumhub/fleet/peer_message.h
+++ b/gypsumhub/fleet/peer_message.h
@@ -72,25 +72,6 @@
     std::string bytes;
 };
 
-/// Liveness probe; with `subject` set it asks the receiver to probe that node in the sender's place.
-struct ping_message {
-    uint64_t sequence { 0 };
-    /// Of the sender.
-    uint64_t incarnation { 0 };
-    std::optional<node_key> subject;
-};
-
-/// Answer to a `ping_message`.
-struct ping_ack_message {
-    /// Of the ping that is answered.
-    uint64_t sequence { 0 };
-    /// Of the subject as far as the sender knows.
-    uint64_t incarnation { 0 };
-    node_key subject;
-    /// False when the sender was asked to probe the subject and got no answer.
-    bool reached { true };
-};
-
 /// What is believed of one node. At equal incarnation the later enumerator overrides the earlier.
 enum class member_state : uint8_t {
     Alive,
@@ -112,6 +93,29 @@
     auto operator==(const member_claim&) const -> bool = default;
 };
 
+/// Liveness probe; with `subject` set it asks the receiver to probe that node in the sender's place.
+struct ping_message {
+    uint64_t sequence { 0 };
+    /// Of the sender.
+    uint64_t incarnation { 0 };
+    std::optional<node_key> subject;
+    /// News that travels along.
+    std::vector<member_claim> claims {};
+};
+
+/// Answer to a `ping_message`.
+struct ping_ack_message {
+    /// Of the ping that is answered.
+    uint64_t sequence { 0 };
+    /// Of the subject as far as the sender knows.
+    uint64_t incarnation { 0 };
+    node_key subject;
+    /// False when the sender was asked to probe the subject and got no answer.
+    bool reached { true };
+    /// News that travels along.
+    std::vector<member_claim> claims {};
+};
+
 /// Changes of membership, spread in the manner of an epidemic.
 struct membership_message {
     std::vector<member_claim> claims;
--- /dev/null
+++ b/gypsumhub/fleet/registered_node.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "gypsumhub/config/configuration.h"
+#include "gypsumhub/core/strong_id.h"
+#include "gypsumhub/fleet/control_meter.h"
+#include "gypsumhub/fleet/peer_transport_settings.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace gypsumhub {
+
+/// A node of the register as far as the fleet layer needs it. Data centres and regions are numbered in order of name.
+struct registered_node {
+    node_key key;
+    uint16_t dataCentre { 0 };
+    uint16_t region { 0 };
+
+    auto operator<=>(const registered_node&) const = default;
+};
+
+/// The nodes of a configuration in order of key.
+auto registeredNodes(const configuration&) -> std::vector<registered_node>;
+
+/// How far apart two nodes are.
+auto distanceBetween(const registered_node&, const registered_node&) -> peer_distance;
+
+/// The address book of a node for `peer_transport::setPeers`: everybody but itself.
+auto peerAddresses(const configuration&, node_key self) -> std::map<node_key, peer_address>;
+
+} // namespace gypsumhub
--- /dev/null
+++ b/unit_tests/fleet/membership_fleet.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "fakes/fake_network.h"
+#include "gypsumhub/fleet/membership.h"
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+namespace gypsumhub {
+
+/// One `membership` on a fake network.
+class membership_end final : public fake_network_node, public membership_listener {
+public:
+    membership_end(const membership_settings& settings, fake_network& network, const std::vector<registered_node>& nodes)
+        : m_network(network)
+        , m_key(settings.self)
+        , view(settings, network.senderOf(settings.self), *this)
+    {
+        network.setNode(m_key, this);
+        view.setNodes(nodes, network.now());
+    }
+
+    ~membership_end() override { m_network.setNode(m_key, nullptr); }
+
+    auto onTick(time_point now) -> void override { view.tick(now); }
+
+    auto onMessage(node_key sender, peer_message message, time_point now) -> void override
+    {
+        if (auto* ping = std::get_if<ping_message>(&message))
+            view.handle(sender, *ping, now);
+        else if (auto* ack = std::get_if<ping_ack_message>(&message))
+            view.handle(sender, *ack, now);
+        else if (auto* claims = std::get_if<membership_message>(&message))
+            view.handle(sender, *claims, now);
+        else if (auto* digest = std::get_if<digest_message>(&message))
+            view.handle(sender, *digest, now);
+    }
+
+    auto onMembershipChange() -> void override { ++changes; }
+    auto onPeerReplaced(node_key peer) -> void override { replaced.push_back(peer); }
+
+private:
+    fake_network& m_network;
+    node_key m_key;
+
+public:
+    uint32_t changes { 0 };
+    std::vector<node_key> replaced;
+    membership view;
+};
+
+/// A fleet of `membership` instances: `perDataCentre` nodes in each of `dataCentres`, two data centres a region.
+class membership_fleet {
+public:
+    membership_fleet(uint16_t dataCentres, uint16_t perDataCentre, membership_settings base = {}, uint64_t seed = 1)
+        : network(seed)
+        , m_base(base)
+    {
+        for (auto index = uint64_t { 0 }; index < uint64_t { dataCentres } * perDataCentre; ++index) {
+            auto dataCentre = static_cast<uint16_t>(index / perDataCentre);
+            nodes.push_back({ { index + 1 }, dataCentre, static_cast<uint16_t>(dataCentre / 2) });
+        }
+        for (auto& node : nodes)
+            start(node.key, 1'000'000'000);
+    }
+
+    auto start(node_key key, uint64_t incarnation) -> void
+    {
+        auto settings = m_base;
+        settings.self = key;
+        settings.incarnation = incarnation;
+        settings.seed = key.value * 7919 + incarnation;
+        ends[key].reset();
+        ends[key] = std::make_unique<membership_end>(settings, network, nodes);
+    }
+
+    auto kill(node_key key) -> void { ends[key].reset(); }
+
+    auto view(node_key key) -> membership& { return ends[key]->view; }
+
+    /// How many running nodes of those that fulfil `who` believe `subject` alive.
+    template <typename Predicate>
+    auto believers(node_key subject, Predicate who) -> std::size_t
+    {
+        auto count = std::size_t { 0 };
+        for (auto& [key, end] : ends) {
+            if (!end || key == subject || !who(key))
+                continue;
+            auto alive = end->view.alive();
+            count += std::ranges::binary_search(alive, subject) ? 1 : 0;
+        }
+        return count;
+    }
+
+    auto believers(node_key subject) -> std::size_t
+    {
+        return believers(subject, [](node_key) { return true; });
+    }
+
+    auto dataCentreOf(node_key key) const -> uint16_t { return nodes[key.value - 1].dataCentre; }
+    auto regionOf(node_key key) const -> uint16_t { return nodes[key.value - 1].region; }
+
+    fake_network network;
+    std::vector<registered_node> nodes;
+    std::map<node_key, std::unique_ptr<membership_end>> ends;
+
+private:
+    membership_settings m_base;
+};
+
+} // namespace gypsumhub
