--- a/gypsumhub/fleet/membership.cpp
+++ b/gypsumhub/fleet/membership.cpp
@@ -23,6 +23,7 @@
     , m_sender(sender)
     , m_listener(listener)
     , m_random(settings.seed)
+    , m_hearing(settings.maxTickGap, settings.isolationLimit)
     , m_incarnation(settings.incarnation)
 {
 }
@@ -36,7 +37,7 @@
     if (first) {
         // Everybody starting at once must not probe at once.
         m_nextProbe = now + m_settings.probeInterval * static_cast<int64_t>(m_random.below(1000)) / 1000;
-        m_isolatedFrom = now + m_settings.isolationLimit;
+        m_hearing.start(now);
         probeContacts(now);
     }
     m_listener.onMembershipChange();
@@ -56,42 +57,32 @@
 
 auto membership::noticePause(time_point now) -> void
 {
-    auto paused = now >= m_pausedAfter;
-    auto lastTick = m_pausedAfter - m_settings.maxTickGap;
-    m_pausedAfter = now + m_settings.maxTickGap;
-    if (!paused)
+    auto pause = m_hearing.noteActivity(now);
+    if (!pause)
         return;
     ++m_counts.pauses;
     // Answers that came meanwhile were not seen in time, so nobody may be blamed for the silence.
     m_probes.clear();
-    for (auto& entry : m_table.members()) {
-        if (entry.state == member_state::Suspected)
-            entry.suspectedUntil = entry.suspectedUntil + (now - lastTick);
-    }
-    m_unheard = true;
-    m_isolatedFrom = now + m_settings.isolationLimit;
+    forEachSuspected([&](member& entry) { entry.suspectedUntil = entry.suspectedUntil + *pause; });
     probeContacts(now);
     m_listener.onMembershipChange();
 }
 
 auto membership::noticeIsolation(time_point now) -> void
 {
-    auto isolated = now >= m_isolatedFrom && hasReachableOthers();
-    if (isolated == m_isolated)
-        return;
-    m_isolated = isolated;
-    m_listener.onMembershipChange();
+    auto before = m_hearing.isIsolated();
+    m_hearing.update(now, hasReachableOthers());
+    if (m_hearing.isIsolated() != before)
+        m_listener.onMembershipChange();
 }
 
-auto membership::endIsolation(time_point now) -> void
+template <typename Action>
+auto membership::forEachSuspected(Action action) -> void
 {
-    m_isolated = false;
-    // The suspected may refute now that this node hears again.
     for (auto& entry : m_table.members()) {
         if (entry.state == member_state::Suspected)
-            entry.suspectedUntil = now + m_settings.suspicion;
+            action(entry);
     }
-    m_listener.onMembershipChange();
 }
 
 auto membership::hasReachableOthers() const -> bool
@@ -102,11 +93,13 @@
 
 auto membership::noteHeard(node_key sender, uint64_t incarnation, time_point now) -> void
 {
-    m_isolatedFrom = now + m_settings.isolationLimit;
-    if (std::exchange(m_unheard, false))
+    auto wasCertain = m_hearing.hasHeard() && !m_hearing.isIsolated();
+    // After a cut the suspected get their time to refute anew.
+    if (m_hearing.isIsolated())
+        forEachSuspected([&](member& entry) { entry.suspectedUntil = now + m_settings.suspicion; });
+    m_hearing.noteHeard(now);
+    if (!wasCertain)
         m_listener.onMembershipChange();
-    if (m_isolated)
-        endIsolation(now);
     adoptOne({ sender, incarnation, member_state::Alive }, now);
     // Whom others believe absent learns it here and can refute it.
     auto* entry = m_table.find(sender);
@@ -202,15 +195,15 @@
 
 auto membership::expireSuspicions(time_point now) -> void
 {
-    for (auto& entry : m_table.members()) {
-        if (entry.state != member_state::Suspected || entry.suspectedUntil > now)
-            continue;
-        // A node that hears nobody could not have heard the refutation.
-        if (m_isolated)
-            continue;
+    // A node that hears nobody could not have heard the refutation.
+    if (m_hearing.isIsolated())
+        return;
+    forEachSuspected([&](member& entry) {
+        if (entry.suspectedUntil > now)
+            return;
         ++m_counts.deaths;
         adoptOne({ entry.node.key, entry.incarnation, member_state::Dead }, now);
-    }
+    });
 }
 
 auto membership::gossip(time_point now) -> void
@@ -381,7 +374,7 @@
     auto selfSeen = m_stopping;
     for (auto& entry : m_table.members()) {
         auto isSelf = entry.node.key == m_settings.self;
-        if (isSelf ? !m_stopping : entry.takesWork() && !m_isolated)
+        if (isSelf ? !m_stopping : entry.takesWork() && !m_hearing.isIsolated())
             keys.push_back(entry.node.key);
         selfSeen = selfSeen || isSelf;
     }
@@ -395,7 +388,7 @@
 {
     if (m_stopping)
         return false;
-    return !m_unheard || m_isolated || !hasReachableOthers();
+    return m_hearing.hasHeard() || m_hearing.isIsolated() || !hasReachableOthers();
 }
 
 } // namespace gypsumhub
--- a/gypsumhub/fleet/membership.h
+++ b/gypsumhub/fleet/membership.h
@@ -2,6 +2,7 @@
 
 #include "gypsumhub/core/random_generator.h"
 #include "gypsumhub/fleet/claim_queue.h"
+#include "gypsumhub/fleet/hearing_monitor.h"
 #include "gypsumhub/fleet/member_table.h"
 #include "gypsumhub/fleet/membership_settings.h"
 #include "gypsumhub/fleet/probe_table.h"
@@ -63,7 +64,7 @@
     auto isReady() const -> bool;
 
     /// Whether this node hears nobody although others should be there.
-    auto isIsolated() const -> bool { return m_isolated; }
+    auto isIsolated() const -> bool { return m_hearing.isIsolated(); }
 
     /// The nodes to push news to, nearer ones first.
     auto contacts() const -> std::span<const node_key> { return m_rings.contacts(); }
@@ -76,7 +77,8 @@
 private:
     auto noticePause(time_point now) -> void;
     auto noticeIsolation(time_point now) -> void;
-    auto endIsolation(time_point now) -> void;
+    template <typename Action>
+    auto forEachSuspected(Action) -> void;
     auto noteHeard(node_key sender, uint64_t incarnation, time_point now) -> void;
     auto probeNext(time_point now) -> void;
     auto probe(node_key subject, time_point now) -> void;
@@ -99,6 +101,7 @@
     peer_sender& m_sender;
     membership_listener& m_listener;
     random_generator m_random;
+    hearing_monitor m_hearing;
     member_table m_table;
     contact_rings m_rings;
     claim_queue m_news;
@@ -108,14 +111,9 @@
     /// Contacts still to be probed in this round.
     std::vector<node_key> m_round;
     bool m_stopping { false };
-    /// Whether nobody was heard since the start or the last pause.
-    bool m_unheard { true };
-    bool m_isolated { false };
-    time_point m_isolatedFrom { never };
     time_point m_nextProbe {};
     time_point m_nextGossip {};
     time_point m_nextSync {};
-    time_point m_pausedAfter { never };
 };
 
 } // namespace gypsumhub
