--- a/gypsumhub/config/config_revision.cpp
+++ b/gypsumhub/config/config_revision.cpp
@@ -76,7 +76,7 @@
         -> leaf::result<std::shared_ptr<config_revision>>
     {
         auto next = parent ? std::make_shared<config_revision>(*parent) : std::make_shared<config_revision>();
-        auto tag = operationId.substr(0, tagDigits);
+        auto tag = chunkTag(operationId);
         if (!parent) {
             next->manifest.chunks.resize(1);
             next->chunks.resize(1);
@@ -103,6 +103,11 @@
 
 } // namespace
 
+auto chunkTag(std::string_view operationId) -> std::string
+{
+    return toHex(hashContent(operationId)).substr(0, tagDigits);
+}
+
 auto config_revision::entries() const -> leaf::result<std::vector<configuration_entry>>
 {
     auto all = std::vector<configuration_entry> {};
@@ -184,7 +189,7 @@
         BOOST_LEAF_AUTO(entries, decodeChunk(*chunk));
         for (auto& entry : entries) {
             BOOST_LEAF_AUTO(located, toSection(entry));
-            builder.put(located.document, std::move(located.section), {});
+            builder.put(located.document, std::move(located.section), entry.key);
         }
     }
     return builder.build(revision.id);
@@ -196,7 +201,7 @@
     for (auto& change : changes) {
         BOOST_LEAF_AUTO(located, toSection({ change.key, change.body.value_or("") }));
         if (change.body)
-            builder.put(located.document, std::move(located.section), {});
+            builder.put(located.document, std::move(located.section), change.key);
         else
             builder.remove(located.document, located.section.kind, located.section.name);
     }
--- a/gypsumhub/config/config_revision.h
+++ b/gypsumhub/config/config_revision.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace gypsumhub {
@@ -39,6 +40,9 @@
     time_point createdAt;
 };
 
+/// The tag of the chunks that an operation writes.
+auto chunkTag(std::string_view operationId) -> std::string;
+
 /// Records kept in memory for peers that lag.
 constexpr auto maxRecentRecords = size_t { 256 };
 
--- a/gypsumhub/config/revision_transfer.cpp
+++ b/gypsumhub/config/revision_transfer.cpp
@@ -38,7 +38,8 @@
         haveDeltas = haveDeltas && (*record)->delta.has_value();
     }
     m_isWhole = !reachesHave || !haveDeltas || have.number == 0;
-    if (have.number == 0)
+    // The head's record always goes along: it shows a node of another history that it is one.
+    if (have.number == 0 || m_records.empty())
         m_records = { m_revision->recent.back() };
 }
 
@@ -59,8 +60,9 @@
     return chunkMark + *m_revision->chunks[chunk - 1];
 }
 
-revision_assembler::revision_assembler(std::shared_ptr<const config_revision> current)
+revision_assembler::revision_assembler(std::shared_ptr<const config_revision> current, const revision_id& wanted)
     : m_current(std::move(current))
+    , m_wanted(wanted)
 {
 }
 
@@ -107,6 +109,8 @@
     assert(!firstMissing());
     auto records = std::vector<revision_record> {};
     BOOST_LEAF_AUTO(manifestIndex, readRecords(records));
+    if (records.back().id != m_wanted)
+        return unusable("leads to another revision than the one asked for");
     BOOST_LEAF_CHECK(verifyChain(m_current ? m_current->id : revision_id {}, records));
     if (manifestIndex == m_parts.size())
         return applyRecords(records);
--- a/gypsumhub/config/revision_transfer.h
+++ b/gypsumhub/config/revision_transfer.h
@@ -39,8 +39,8 @@
 /// revision, and checks all hashes and the chain from the revision that is held. Nothing counts before everything is verified.
 class revision_assembler {
 public:
-    /// `current` is the verified revision, or null when there is none yet.
-    explicit revision_assembler(std::shared_ptr<const config_revision> current);
+    /// `current` is the verified revision, or null when there is none yet; `wanted` is the revision that the parts lead to.
+    revision_assembler(std::shared_ptr<const config_revision> current, const revision_id& wanted);
 
     /// Takes a part; a part that was taken before is passed over. Fails with `ConfigurationInvalid` when it cannot be part of the set.
     auto put(uint32_t index, uint32_t count, std::string_view bytes) -> leaf::result<void>;
@@ -55,6 +55,7 @@
     auto assembleWhole(const std::vector<revision_record>&, size_t manifestIndex) -> leaf::result<revision_update>;
 
     std::shared_ptr<const config_revision> m_current;
+    revision_id m_wanted;
     std::vector<std::shared_ptr<const std::string>> m_parts;
 };
 
