--- a/gypsumhub/fleet/peer_message.h
+++ b/gypsumhub/fleet/peer_message.h
@@ -2,7 +2,7 @@
 
 #include "gypsumhub/config/revision.h"
 #include "gypsumhub/decision/evidence.h"
-#include "gypsumhub/decision/request/claim.h"
+#include "gypsumhub/decision/request/claim_message.h"
 
 #include <cstdint>
 #include <optional>
@@ -17,34 +17,6 @@
     std::vector<evidence> items;
 };
 
-/// Asks the owner of an idempotency key for a verdict.
-struct claim_message {
-    uint64_t requestId { 0 };
-    claim_query query;
-};
-
-/// The owner's verdict.
-struct claim_verdict_message {
-    uint64_t requestId { 0 };
-    claim_verdict verdict;
-};
-
-/// Tells the owner or the backup how a claimed request stands, so that it outlives the owner.
-struct claim_record_message {
-    uint64_t requestId { 0 };
-    claim_query query;
-    /// Absent while the request may still be running.
-    std::optional<claim_end> end;
-    std::optional<kept_answer> answer;
-    time_point keptUntil;
-};
-
-/// Confirms that a `claim_record_message` is held.
-struct claim_record_ack_message {
-    uint64_t requestId { 0 };
-    bool held { false };
-};
-
 /// Says which configuration the sender has, and what it knows of the membership.
 struct digest_message {
     revision_id revision;
