--- a/gypsumhub/platform/configuration_writer.cpp
+++ b/gypsumhub/platform/configuration_writer.cpp
@@ -37,8 +37,7 @@
 } // namespace
 
 configuration_writer::configuration_writer(store& destination, settings limits, store_clock clock)
-    : m_store(destination)
-    , m_settings(limits)
+    : m_settings(limits)
     , m_clock(clock)
     , m_loader(destination)
     , m_publisher(destination, std::move(clock))
--- a/gypsumhub/platform/configuration_writer.h
+++ b/gypsumhub/platform/configuration_writer.h
@@ -69,7 +69,6 @@
     auto planDocument(const document_proposal&, const std::shared_ptr<const config_revision>& current, time_point deadline) -> leaf::result<std::vector<entry_change>>;
     auto loadAt(uint64_t number, const std::shared_ptr<const config_revision>& current, time_point deadline) -> leaf::result<std::shared_ptr<const config_revision>>;
 
-    store& m_store;
     settings m_settings;
     store_clock m_clock;
     configuration_loader m_loader;
