--- /dev/null
+++ b/gypsumhub/operator/register/register_commands.cpp
@@ -0,0 +1,160 @@
+#include "gypsumhub/operator/register/register_commands.h"
+
+#include "gypsumhub/config/configuration_builder.h"
+#include "gypsumhub/config/revision_bundle.h"
+#include "gypsumhub/operator/register/register_text.h"
+#include "gypsumhub/platform/caught_result.h"
+
+#include <array>
+#include <fstream>
+#include <iterator>
+#include <unistd.h>
+#include <utility>
+
+namespace gypsumhub {
+
+namespace {
+
+    auto readFile(const std::string& path) -> leaf::result<std::string>
+    {
+        auto stream = std::ifstream(path, std::ios::binary);
+        if (!stream)
+            return failWith({ result_code::FileUnreadable, "the file cannot be opened", path, 0, "check the path and its permissions" });
+        return std::string(std::istreambuf_iterator<char>(stream), {});
+    }
+
+    auto isStoreFailure(result_code code) -> bool
+    {
+        return code == result_code::StoreUnavailable || code == result_code::StoreTimeout || code == result_code::StoreBudgetSpent;
+    }
+
+    /// Says first what a failure of the store means for the operator.
+    template <typename T, typename Function>
+    auto explainOutage(Function&& function) -> leaf::result<T>
+    {
+        auto outcome = catchFaults<T>(std::forward<Function>(function));
+        if (outcome.value)
+            return std::move(*outcome.value);
+        auto code = outcome.code();
+        if (isStoreFailure(code)) {
+            auto plain = fault { code, "no change can be accepted while the configuration store does not answer; what is in force stays in force", {}, 0, "apply again once the store is back" };
+            outcome.faults.faults.insert(outcome.faults.faults.begin(), std::move(plain));
+        }
+        return leaf::new_error(std::move(outcome.faults));
+    }
+
+} // namespace
+
+auto randomOperationId() -> std::string
+{
+    auto bytes = content_hash {};
+    [[maybe_unused]] auto failed = getentropy(bytes.bytes.data(), bytes.bytes.size());
+    constexpr auto digits = size_t { 32 };
+    return toHex(bytes).substr(0, digits);
+}
+
+register_commands::register_commands(store& source, settings options, store_clock clock)
+    : m_store(source)
+    , m_settings(std::move(options))
+    , m_clock(clock)
+    , m_writer(source, m_settings.writer, std::move(clock))
+{
+}
+
+auto register_commands::deadline() const -> time_point
+{
+    return m_clock.now() + m_settings.limit;
+}
+
+auto register_commands::origin(const std::string& defaultNote) -> revision_origin
+{
+    return { m_settings.newOperationId(), m_settings.author, m_settings.note.empty() ? defaultNote : m_settings.note, m_clock.now() };
+}
+
+auto register_commands::show() -> leaf::result<std::string>
+{
+    auto loader = configuration_loader(m_store);
+    BOOST_LEAF_AUTO(revision, loader.load(nullptr, deadline()));
+    if (!revision)
+        return formatBaseLine(m_settings.document, {});
+    BOOST_LEAF_AUTO(entries, revision->entries());
+    return formatDocument(m_settings.document, revision->id, entries);
+}
+
+auto register_commands::readProposal(const std::string& path) -> leaf::result<document_proposal>
+{
+    BOOST_LEAF_AUTO(text, readFile(path));
+    BOOST_LEAF_AUTO(parsed, parseIni(text, path, result_code::ConfigurationInvalid));
+    BOOST_LEAF_CHECK(checkDocument(parsed, deadline()));
+    BOOST_LEAF_AUTO(base, readBaseLine(m_settings.document, text, path));
+    return document_proposal { m_settings.document, toEntries(m_settings.document, parsed), base, origin(path) };
+}
+
+auto register_commands::checkDocument(const ini_document& parsed, time_point until) -> leaf::result<void>
+{
+    // The document as it is in the file, so that faults name its lines, with the other document as it is in force.
+    auto builder = configuration_builder();
+    for (auto& section : parsed.sections)
+        builder.put(m_settings.document, section, parsed.file);
+    auto loader = configuration_loader(m_store);
+    BOOST_LEAF_AUTO(revision, loader.load(nullptr, until));
+    auto entries = std::vector<configuration_entry> {};
+    if (revision) {
+        BOOST_LEAF_ASSIGN(entries, revision->entries());
+    }
+    for (auto& entry : entries) {
+        BOOST_LEAF_AUTO(located, toSection(entry));
+        if (located.document != m_settings.document)
+            builder.put(located.document, std::move(located.section), entry.key + " in force");
+    }
+    BOOST_LEAF_CHECK(builder.build({}));
+    return {};
+}
+
+auto register_commands::check(const std::string& path) -> leaf::result<std::string>
+{
+    BOOST_LEAF_AUTO(proposal, readProposal(path));
+    return path + ": " + std::to_string(proposal.desired.size()) + " sections are valid\n";
+}
+
+auto register_commands::diff(const std::string& path) -> leaf::result<std::string>
+{
+    BOOST_LEAF_AUTO(proposal, readProposal(path));
+    BOOST_LEAF_AUTO(planned, m_writer.dryRun(proposal, deadline()));
+    return formatPlan(planned);
+}
+
+auto register_commands::apply(const std::string& path) -> leaf::result<std::string>
+{
+    return explainOutage<std::string>([&]() -> leaf::result<std::string> {
+        BOOST_LEAF_AUTO(proposal, readProposal(path));
+        BOOST_LEAF_AUTO(accepted, m_writer.apply(proposal, deadline()));
+        return formatAccepted(accepted);
+    });
+}
+
+auto register_commands::history(uint32_t limit) -> leaf::result<std::string>
+{
+    BOOST_LEAF_AUTO(records, m_writer.history(limit, deadline()));
+    return formatHistory(records);
+}
+
+auto register_commands::rollBack(uint64_t number) -> leaf::result<std::string>
+{
+    return explainOutage<std::string>([&]() -> leaf::result<std::string> {
+        BOOST_LEAF_AUTO(accepted, m_writer.rollBack(number, origin("rollback to " + std::to_string(number)), deadline()));
+        return formatAccepted(accepted);
+    });
+}
+
+auto register_commands::reinstate(const std::string& path) -> leaf::result<std::string>
+{
+    return explainOutage<std::string>([&]() -> leaf::result<std::string> {
+        BOOST_LEAF_AUTO(text, readFile(path));
+        BOOST_LEAF_AUTO(revision, decodeBundle(text));
+        BOOST_LEAF_CHECK(m_writer.reinstate(*revision, deadline()));
+        return "revision " + std::to_string(revision->id.number) + " is the store's head again\n";
+    });
+}
+
+} // namespace gypsumhub
--- a/gypsumhub/platform/revision_publisher.cpp
+++ b/gypsumhub/platform/revision_publisher.cpp
@@ -166,6 +166,19 @@
     return true;
 }
 
+auto revision_publisher::removeForeignParent(const revision_record& oldest, time_point deadline) -> leaf::result<void>
+{
+    // A record that is not the parent of the oldest known one belongs to the history that is given up.
+    auto key = recordKey(oldest.id.number - 1);
+    BOOST_LEAF_AUTO(entry, m_store.get(key, deadline));
+    if (!entry)
+        return {};
+    BOOST_LEAF_AUTO(record, decodeRecord(entry->value));
+    if (record.id.hash == oldest.header.parent)
+        return {};
+    return m_store.remove(key, deadline);
+}
+
 auto revision_publisher::overwrite(const config_revision& revision, time_point deadline) -> leaf::result<void>
 {
     BOOST_LEAF_AUTO(head, m_store.get(headKey, deadline));
@@ -178,6 +191,7 @@
         if (!wasReplaced)
             break;
     }
+    BOOST_LEAF_CHECK(removeForeignParent(*revision.recent.front(), deadline));
     BOOST_LEAF_AUTO(outcome, write(headKey, head ? head->modRevision : 0, revision.recent.back()->bytes, deadline));
     if (outcome == write_outcome::Refused)
         return failWith({ result_code::StoreCompareFailed, "another change was accepted at the same time", {}, 0, "look at the history, then try again" });
--- a/gypsumhub/platform/revision_publisher.h
+++ b/gypsumhub/platform/revision_publisher.h
@@ -44,6 +44,7 @@
     auto writeRecord(const revision_record&, time_point deadline) -> leaf::result<void>;
     /// Replaces whatever record is there; false when it was the same already.
     auto replaceRecord(const revision_record&, time_point deadline) -> leaf::result<bool>;
+    auto removeForeignParent(const revision_record& oldest, time_point deadline) -> leaf::result<void>;
     auto writeManifest(const config_revision&, time_point deadline) -> leaf::result<void>;
     auto moveHead(const revision_record&, uint64_t expectedRevision, time_point deadline) -> leaf::result<bool>;
     auto isInHistory(const revision_record&, time_point deadline) -> leaf::result<bool>;
