--- a/gypsumhub/decision/controllers/evidence_controller.cpp
+++ b/gypsumhub/decision/controllers/evidence_controller.cpp
@@ -89,7 +89,7 @@
         std::erase_if(target.opinions, [&](auto& opinion) { return opinion.item.validUntil <= m_board.now; });
         auto& scores = target.scores;
         // Members tell of failures only, so a span without any means that all of them had success meanwhile.
-        if (scores.errorScore == 0 || scores.overdueOpen > 0 || m_board.now < scores.fadeAt || !isInRotation(target))
+        if (scores.errorScore == 0 || !scores.overdue.empty() || m_board.now < scores.fadeAt || !isInRotation(target))
             continue;
         scores.errorScore = scores.errorScore < restoringScore ? 0 : scores.errorScore / 2;
         scores.connectionScore /= 2;
--- a/gypsumhub/decision/controllers/health_controller.cpp
+++ b/gypsumhub/decision/controllers/health_controller.cpp
@@ -9,7 +9,7 @@
     /// Weights in thousandths of a full turn.
     constexpr auto fullWeight = uint16_t { 1000 };
     constexpr auto graceWeight = uint16_t { 400 };
-    constexpr auto demotedWeight = uint16_t { 500 };
+    constexpr auto demotedWeight = uint16_t { 800 };
     constexpr auto avoidedWeight = uint16_t { 1 };
 
     /// How long conviction for a path-like failure waits for the group's word.
--- a/gypsumhub/decision/controllers/trial_controller.cpp
+++ b/gypsumhub/decision/controllers/trial_controller.cpp
@@ -9,7 +9,7 @@
 namespace {
 
     constexpr auto ejectedProbeInterval = seconds(3);
-    constexpr auto suspectProbeInterval = milliseconds(500);
+    constexpr auto suspectProbeInterval = milliseconds(250);
     constexpr auto pathProbeInterval = seconds(2);
     constexpr auto shortestProbeDeadline = milliseconds(250);
     constexpr auto longestProbeDeadline = seconds(1);
@@ -42,7 +42,7 @@
             advanceEjected(service, target);
         else if (target.state == health_state::Trial)
             advanceTrial(service, target);
-        else if (target.state == health_state::Demoted && target.probeWanted && m_board.now >= target.nextProbeAt)
+        else if (target.state != health_state::Leaving && target.probeWanted && m_board.now >= target.nextProbeAt)
             startProbe(service, target, target.pathSuspect ? pathProbeInterval : suspectProbeInterval);
     }
 }
--- a/gypsumhub/decision/controllers/work_controller.cpp
+++ b/gypsumhub/decision/controllers/work_controller.cpp
@@ -19,8 +19,8 @@
     constexpr auto creditLimit = 4.0F;
     constexpr auto creditLifetime = seconds(5);
     constexpr auto closeInterval = seconds(1);
-    /// Exchanges of one target without a failure before slow answers say nothing about a silent path.
-    constexpr auto maxOpenOverdue = uint16_t { 1000 };
+    /// Open exchanges of one target that are counted.
+    constexpr auto maxOverdue = size_t { 4 };
 
     auto isSilence(attempt_result result) -> bool
     {
@@ -50,17 +50,19 @@
         onDraining(*service, *target);
         return;
     }
+    auto counted = report.result == attempt_result::Overdue ? 0 : settleOverdue(target->scores, report.startedAt);
     // Declining for load and callers that go away say nothing about health.
     if (report.result == attempt_result::Shed || report.result == attempt_result::Cancelled)
         return;
     fadeCredit(target->scores);
+    countRecent(target->scores, isFailure(report.result));
     ++target->scores.samples;
     ++service->recentExchanges;
     target->scores.lastSampleAt = m_board.now;
     if (isFailure(report.result))
-        addFailureEvidence(*service, *target, report);
+        addFailureEvidence(*service, *target, report, counted);
     else
-        addSuccessEvidence(*service, *target, report);
+        addSuccessEvidence(*service, *target, report, counted);
 
     // A plainly healthy target changes nothing that anybody must hear of.
     auto& scores = target->scores;
@@ -74,21 +76,20 @@
     m_board.markChanged(service);
 }
 
-auto work_controller::addFailureEvidence(service_record& service, target_record& target, const attempt_report& report) -> void
+auto work_controller::addFailureEvidence(service_record& service, target_record& target, const attempt_report& report, float counted)
+    -> void
 {
     auto& scores = target.scores;
-    auto likelihood = service.failures.failingLikelihood(report.result);
+    auto likelihood = service.failures.failingLikelihood(report.result, service.siblingFailureRate(target, m_board.now));
+    // A cold VM may be late, and says so by being late only.
+    if (report.result == attempt_result::Overdue && target.graceUntil > m_board.now)
+        return;
     // Under suspicion, the target's failures would hide its own sickness; in trouble, they are the service's.
     if (scores.errorScore < tellingScore || service.troubled)
         service.failures.learn(report.result);
-
     // An exchange that was reported overdue has been counted already.
-    if (report.result == attempt_result::Overdue) {
-        scores.overdueOpen = std::min<uint16_t>(scores.overdueOpen + 1, maxOpenOverdue);
-    } else if (isSilence(report.result) && scores.overdueOpen > 0 && report.endedAt - report.startedAt > service.overdueAfter) {
-        --scores.overdueOpen;
+    if (isSilence(report.result) && counted > 0)
         likelihood = 0;
-    }
     if (report.reusedConnection && report.result == attempt_result::ConnectionLost)
         likelihood = std::min(likelihood, reusedLossLikelihood);
     if (report.reusedConnection && isSilence(report.result)) {
@@ -96,6 +97,10 @@
         scores.connectionScore += likelihood;
         suspectConnection(target);
     }
+    if (report.result == attempt_result::Overdue && scores.overdue.size() < maxOverdue)
+        scores.overdue.push_back({ report.startedAt, report.startedAt + service.overdueAfter * 2, likelihood });
+    // A probe on a new connection tells more at once; so does another one after it failed.
+    target.probeWanted = target.probeWanted || isSilence(report.result) || report.probe;
     scores.pathLike = isPathLike(report.result) && (scores.pathLike || scores.failuresInRow == 0);
     ++scores.failuresInRow;
     scores.credit = 0;
@@ -105,17 +110,40 @@
     target.trialSuccesses = 0;
 }
 
+auto work_controller::settleOverdue(work_scores& scores, time_point startedAt) const -> float
+{
+    auto found = std::ranges::find(scores.overdue, startedAt, &overdue_exchange::startedAt);
+    if (found == scores.overdue.end())
+        return 0;
+    auto score = found->score;
+    scores.overdue.erase(found);
+    return score;
+}
+
+auto work_controller::countHangs(const service_record& service, target_record& target) -> void
+{
+    for (auto& exchange : target.scores.overdue) {
+        if (m_board.now < exchange.hangCheckAt)
+            continue;
+        // Of healthy answers that are late, few are late by twice as much.
+        auto likelihood = service.latencies.hangLikelihood();
+        exchange.score += likelihood;
+        exchange.hangCheckAt = exchange.hangCheckAt + (exchange.hangCheckAt - exchange.startedAt);
+        target.scores.errorScore = std::min(target.scores.errorScore + likelihood, scoreLimit);
+    }
+}
+
 auto work_controller::suspectConnection(target_record& target) -> void
 {
     // Something between the two ends may have lost track of the connections: new ones tell.
-    target.probeWanted = true;
     if (m_board.now < target.nextCloseAt)
         return;
     target.nextCloseAt = m_board.now + closeInterval;
     m_board.outbox.emplace_back(close_idle_connections_command { target.key });
 }
 
-auto work_controller::addSuccessEvidence(service_record& service, target_record& target, const attempt_report& report) -> void
+auto work_controller::addSuccessEvidence(service_record& service, target_record& target, const attempt_report& report, float counted)
+    -> void
 {
     auto& scores = target.scores;
     if (report.probe) {
@@ -123,9 +151,11 @@
         ++target.probesPassed;
         return;
     }
-    if (scores.overdueOpen > 0 && report.endedAt - report.startedAt > service.overdueAfter)
-        --scores.overdueOpen;
-    auto likelihood = service.failures.failingLikelihood(report.result);
+    // An answer that came after all is judged as slow, no longer as missing.
+    scores.errorScore = std::max(0.0F, scores.errorScore - counted);
+    if (report.endedAt - report.startedAt > service.overdueAfter)
+        service.latencies.learnLate(report.endedAt - report.startedAt, service.overdueAfter);
+    auto likelihood = service.failures.failingLikelihood(report.result, 0);
     service.failures.learn(report.result);
     scores.failuresInRow = 0;
     scores.pathLike = false;
@@ -155,6 +185,13 @@
     service.latencies.learn(latency, target.distance, m_board.now);
 }
 
+auto work_controller::countRecent(work_scores& scores, bool failed) const -> void
+{
+    auto recent = recentWork(scores, m_board.now);
+    scores.recentSamples = recent.samples + 1;
+    scores.recentFailures = recent.failures + (failed ? 1 : 0);
+}
+
 auto work_controller::fadeCredit(work_scores& scores) const -> void
 {
     // Old successes say nothing about a fault that began since.
--- a/gypsumhub/decision/controllers/work_controller.h
+++ b/gypsumhub/decision/controllers/work_controller.h
@@ -11,13 +11,18 @@
 
     /// Takes one exchange. Costs the same whatever the number of targets, unless the target's health is in question.
     auto onAttempt(const attempt_report&) -> void;
+    /// Counts exchanges that stay open long after they were reported overdue.
+    auto countHangs(const service_record&, target_record&) -> void;
 
 private:
     auto onDraining(service_record&, target_record&) -> void;
-    auto addFailureEvidence(service_record&, target_record&, const attempt_report&) -> void;
-    auto addSuccessEvidence(service_record&, target_record&, const attempt_report&) -> void;
+    auto addFailureEvidence(service_record&, target_record&, const attempt_report&, float counted) -> void;
+    auto addSuccessEvidence(service_record&, target_record&, const attempt_report&, float counted) -> void;
     auto addLatencyEvidence(service_record&, target_record&, const attempt_report&) -> void;
+    /// Removes the open exchange that began at this time and returns the score it was counted with, or 0.
+    auto settleOverdue(work_scores&, time_point startedAt) const -> float;
     auto suspectConnection(target_record&) -> void;
+    auto countRecent(work_scores&, bool failed) const -> void;
     auto fadeCredit(work_scores&) const -> void;
 
     blackboard& m_board;
--- a/gypsumhub/decision/decision_core.cpp
+++ b/gypsumhub/decision/decision_core.cpp
@@ -39,6 +39,11 @@
     auto on(const tick_event&) -> void { ticks.onTick(); }
 
     auto divideSlots(service_record& service) -> void { slots.divide(service); }
+    auto countHangs(service_record& service) -> void
+    {
+        for (auto& target : service.targets)
+            work.countHangs(service, target);
+    }
     auto expireEvidence(service_record& service) -> void { peers.expire(service); }
     auto judgeHealth(service_record& service) -> void { health.judge(service); }
     auto applyFloor(service_record& service) -> void { floor.apply(service); }
@@ -61,6 +66,7 @@
     /// What is done to a changed service, in this order.
     static constexpr service_step steps[] = {
         &implementation::divideSlots,
+        &implementation::countHangs,
         &implementation::expireEvidence,
         &implementation::judgeHealth,
         &implementation::applyFloor,
--- a/gypsumhub/decision/failure_baseline.cpp
+++ b/gypsumhub/decision/failure_baseline.cpp
@@ -14,7 +14,6 @@
     /// Allowance for the uncertainty of a measured rate.
     constexpr auto rateMargin = 1.5F;
     constexpr auto fullWeight = 4000.0F;
-    constexpr auto leastLikelihood = 0.3F;
 
     /// The rate of one kind of failure that every service is granted.
     auto grantedRate(attempt_result result) -> float
@@ -37,11 +36,11 @@
 
 } // namespace
 
-auto failure_baseline::failingLikelihood(attempt_result result) const -> float
+auto failure_baseline::failingLikelihood(attempt_result result, float siblingRate) const -> float
 {
     if (!isFailure(result))
         return successLikelihood;
-    return std::max(leastLikelihood, std::log(sickRate / healthyRate(result)));
+    return std::max(0.0F, std::log(sickRate / std::min(healthyRate(result, siblingRate), sickRate)));
 }
 
 auto failure_baseline::learn(attempt_result result) -> void
@@ -55,11 +54,11 @@
     m_total /= 2;
 }
 
-auto failure_baseline::healthyRate(attempt_result result) const -> float
+auto failure_baseline::healthyRate(attempt_result result, float siblingRate) const -> float
 {
     // A few samples say little: the granted rate stands for as many as would show it.
     auto measured = m_counts[static_cast<size_t>(result)] / std::max(m_total, 200.0F);
-    return std::max(grantedRate(result), rateMargin * measured);
+    return std::max(grantedRate(result), rateMargin * std::max(measured, siblingRate));
 }
 
 } // namespace gypsumhub
--- a/gypsumhub/decision/latency_baseline.cpp
+++ b/gypsumhub/decision/latency_baseline.cpp
@@ -18,17 +18,22 @@
     constexpr auto rebuildEvery = 64U;
     constexpr auto medianStep = 0.05F;
     constexpr auto firstMedianStep = 0.5F;
-    constexpr auto likelihoodLimit = 2.0F;
+    constexpr auto likelihoodLimit = 3.0F;
     /// Weight and spread of the shape assumed before anything is known.
     constexpr auto priorWeight = 20.0F;
     constexpr auto priorSpread = 0.7F;
-    constexpr auto overdueTail = 0.001F;
+    constexpr auto overdueTail = 0.002F;
+    /// Late answers assumed before any was seen: one in three takes twice as long.
+    constexpr auto priorLate = 3.0F;
+    constexpr auto priorVeryLate = 1.0F;
+    constexpr auto lateMemory = 200.0F;
+    constexpr auto hangLikelihoodLimit = 3.0F;
     constexpr auto shortestOverdue = milliseconds(100);
-    constexpr auto longestOverdue = seconds(5);
+    constexpr auto longestOverdue = seconds(1);
 
     auto binWidth() -> float
     {
-        static const auto width = std::log(slowFactor) / 4;
+        static const auto width = std::log(slowFactor) / 8;
         return width;
     }
 
@@ -94,6 +99,21 @@
     return std::clamp(limit, shortestOverdue, longestOverdue);
 }
 
+auto latency_baseline::learnLate(duration latency, duration overdueAfter) -> void
+{
+    m_late += 1;
+    m_veryLate += latency > overdueAfter * 2 ? 1 : 0;
+    if (m_late < lateMemory)
+        return;
+    m_late /= 2;
+    m_veryLate /= 2;
+}
+
+auto latency_baseline::hangLikelihood() const -> float
+{
+    return std::min(std::log((m_late + priorLate) / (m_veryLate + priorVeryLate)), hangLikelihoodLimit);
+}
+
 auto latency_baseline::normalize(duration latency, uint8_t distance) const -> float
 {
     // Take off what the path to farther data centres adds, judged by the least latency seen there.
--- a/gypsumhub/decision/latency_baseline.h
+++ b/gypsumhub/decision/latency_baseline.h
@@ -21,15 +21,19 @@
     auto slowLikelihood(duration latency, uint8_t distance) const -> float;
     /// Adds one complete answer. `distance` is the target's, see `target_view`.
     auto learn(duration latency, uint8_t distance, time_point now) -> void;
-    /// The latency that about one answer in a thousand exceeds.
+    /// The latency that few answers exceed, see `overdueTail`.
     auto overdueAfter() const -> duration;
+    /// Adds a complete answer that came after the overdue limit that was in force.
+    auto learnLate(duration latency, duration overdueAfter) -> void;
+    /// Log likelihood ratio of "hangs" against "late as others" for an exchange that is still open at twice its earlier age.
+    auto hangLikelihood() const -> float;
 
 private:
     /// Width of a bin in the logarithm: a factor of three is exactly `slowShift` bins.
-    static constexpr auto slowShift = 4;
-    static constexpr auto binCount = 44;
+    static constexpr auto slowShift = 8;
+    static constexpr auto binCount = 88;
     /// Bin of the median.
-    static constexpr auto medianBin = 14;
+    static constexpr auto medianBin = 28;
 
     /// Least latency at one distance over the current and the previous period.
     struct path_minimum {
@@ -52,6 +56,9 @@
     float m_total { 0 };
     float m_median { 0 };
     uint32_t m_samples { 0 };
+    /// Late answers, and those among them that took at least twice the limit.
+    float m_late { 0 };
+    float m_veryLate { 0 };
 };
 
 } // namespace gypsumhub
--- a/gypsumhub/decision/service_record.cpp
+++ b/gypsumhub/decision/service_record.cpp
@@ -10,6 +10,8 @@
     constexpr auto windowExchanges = 20.0;
     constexpr auto shortestWindow = seconds(2);
     constexpr auto longestWindow = seconds(20);
+    /// Failures at siblings that are needed to call it the service's trouble.
+    constexpr auto siblingFailures = 1.5F;
 
     template <typename Targets>
     auto findIn(Targets& targets, vm_key key)
@@ -30,6 +32,26 @@
     return findIn(targets, key);
 }
 
+auto service_record::siblingFailureRate(const target_record& target, time_point now) const -> float
+{
+    auto failures = 0.0F;
+    auto samples = 0.0F;
+    auto worst = recent_work {};
+    for (auto& sibling : targets) {
+        if (&sibling == &target)
+            continue;
+        auto work = recentWork(sibling.scores, now);
+        failures += work.failures;
+        samples += work.samples;
+        if (work.failures > worst.failures)
+            worst = work;
+    }
+    // One other sick VM is not the service's trouble.
+    failures -= worst.failures;
+    samples -= worst.samples;
+    return failures < siblingFailures ? 0 : failures / std::max(samples, failures);
+}
+
 auto service_record::evidenceWindow() const -> duration
 {
     // Members share the work about evenly, so the own rate stands for theirs.
--- a/gypsumhub/decision/service_record.h
+++ b/gypsumhub/decision/service_record.h
@@ -39,6 +39,8 @@
     auto findTarget(vm_key) -> target_record*;
     /// The target with this key, or null.
     auto findTarget(vm_key) const -> const target_record*;
+    /// Share of failures at the target's siblings in the last seconds, without the worst of them; 0 if too few failed.
+    auto siblingFailureRate(const target_record&, time_point now) const -> float;
     /// Time in which the whole group has about twenty exchanges with one target.
     auto evidenceWindow() const -> duration;
     /// Least number of registered targets that stay in rotation by the operators' rule.
--- a/gypsumhub/decision/target_record.h
+++ b/gypsumhub/decision/target_record.h
@@ -26,6 +26,15 @@
     evidence item;
 };
 
+/// An exchange that is late and still open.
+struct overdue_exchange {
+    time_point startedAt;
+    /// When it is next counted as evidence for still being open.
+    time_point hangCheckAt;
+    /// Its part of the error score; taken back if it ends in success.
+    float score { 0 };
+};
+
 /// Sequential test statistics of one target from this node's own exchanges. All scores are in nats.
 struct work_scores {
     /// CUSUM of "failing" against "healthy"; never below 0.
@@ -36,12 +45,15 @@
     float connectionScore { 0 };
     /// Recent evidence of health, between `-maxCredit` and 0; fades with time.
     float credit { 0 };
+    /// Exchanges and failures of the last seconds; they fade with time.
+    float recentSamples { 0 };
+    float recentFailures { 0 };
     uint32_t samples { 0 };
     uint32_t failuresInRow { 0 };
     /// Whether the latest failures are all of the kind that a broken path explains as well as a sick VM.
     bool pathLike { false };
-    /// Attempts reported overdue whose final report is still to come.
-    uint16_t overdueOpen { 0 };
+    /// Exchanges reported overdue whose final report is still to come.
+    std::vector<overdue_exchange> overdue;
     /// When suspicion that no further failure confirmed is halved.
     time_point fadeAt { 0 };
     time_point lastSampleAt { 0 };
@@ -105,6 +117,21 @@
     time_point resendAt { 0 };
 };
 
+/// Exchanges and failures of the last seconds.
+struct recent_work {
+    float samples { 0 };
+    float failures { 0 };
+};
+
+/// The target's recent work, faded to `now`.
+inline auto recentWork(const work_scores& scores, time_point now) -> recent_work
+{
+    constexpr auto memory = seconds(3);
+    auto share = 1 - static_cast<float>((now - scores.lastSampleAt).ns) / static_cast<float>(memory.ns);
+    share = share < 0 ? 0 : share;
+    return { scores.recentSamples * share, scores.recentFailures * share };
+}
+
 /// Weight of a target that should be out but is kept in by the floor, in thousandths of a full turn.
 constexpr auto convictedWeight = uint16_t { 100 };
 
