--- a/gypsumhub/decision/controllers/evidence_controller.cpp
+++ b/gypsumhub/decision/controllers/evidence_controller.cpp
@@ -110,11 +110,9 @@
         item.validUntil = std::min(target.drainingUntil, m_board.now + drainingValidity);
     if (target.state == health_state::Ejected || target.state == health_state::Trial)
         item.validUntil = m_board.now + ejectedValidity;
-    // Trouble of the own path is nobody else's business, and a claim to ejection carries the score that led to it.
+    // Trouble of the own path is nobody else's business.
     if (target.pathSuspect)
         item.errorScore = 0;
-    if (target.state == health_state::Ejected)
-        item.errorScore = std::max(item.errorScore, thousandths(target.ejectionScore));
     return item;
 }
 
--- a/gypsumhub/decision/controllers/floor_controller.cpp
+++ b/gypsumhub/decision/controllers/floor_controller.cpp
@@ -17,6 +17,9 @@
     /// How much sicker a target in rotation must be to take an ejected one's place, in nats.
     constexpr auto swapMargin = 10.0F;
 
+    /// Claim of a member that ejected on what others have seen.
+    constexpr auto leastClaim = 0.001F;
+
     auto currentScore(const service_record& service, const target_record& target, time_point now) -> float
     {
         auto pooled = poolEvidence(target, thresholdsFor(service.spec->rules.preference), now);
@@ -67,12 +70,12 @@
 
 auto floor_controller::claimOf(const target_record& target) const -> float
 {
-    auto claim = isEjected(target) ? target.ejectionScore : 0.0F;
+    // Every member adds up the same numbers: what each ejecting member has seen itself.
+    auto claim = isEjected(target) ? std::max(std::max(target.scores.errorScore, target.scores.slowScore), leastClaim) : 0.0F;
     for (auto& opinion : target.opinions) {
-        if (opinion.item.state != health_state::Ejected || opinion.item.validUntil <= m_board.now)
-            continue;
-        auto score = std::max(opinion.item.errorScore, opinion.item.slowScore);
-        claim = std::max(claim, static_cast<float>(std::max(score, 1)) / 1000);
+        auto& item = opinion.item;
+        if (item.state == health_state::Ejected && item.validUntil > m_board.now)
+            claim += std::max(static_cast<float>(std::max(item.errorScore, item.slowScore)) / 1000, leastClaim);
     }
     return claim;
 }
--- a/gypsumhub/decision/controllers/health_controller.cpp
+++ b/gypsumhub/decision/controllers/health_controller.cpp
@@ -20,6 +20,7 @@
     /// A service is in trouble when this share of its targets is under suspicion, and no fewer than `troubledTargets`.
     constexpr auto troubledShare = 0.34F;
     constexpr auto troubledTargets = 3U;
+    constexpr auto troubleHold = seconds(3);
 
 } // namespace
 
@@ -62,7 +63,27 @@
         if (fresh && std::max(m_pooled[index].error, m_pooled[index].slow) >= thresholds.demotes)
             ++suspects;
     }
-    service.troubled = suspects >= troubledTargets && static_cast<float>(suspects) >= troubledShare * static_cast<float>(judged);
+    if (suspects >= troubledTargets && static_cast<float>(suspects) >= troubledShare * static_cast<float>(judged)) {
+        service.troubled = true;
+        service.troubledUntil = m_board.now + troubleHold;
+    } else if (service.troubled && m_board.now >= service.troubledUntil) {
+        endTrouble(service);
+    }
+}
+
+auto health_controller::endTrouble(service_record& service) -> void
+{
+    service.troubled = false;
+    // What was seen during the service's trouble is no evidence against the target that happens to recover last.
+    for (auto& target : service.targets) {
+        if (!isInRotation(target))
+            continue;
+        target.scores.errorScore = 0;
+        target.scores.slowScore = 0;
+        target.scores.connectionScore = 0;
+        target.opinions.clear();
+        m_pooled[static_cast<size_t>(&target - service.targets.data())] = {};
+    }
 }
 
 auto health_controller::judgeTarget(service_record& service, target_record& target, const detection_thresholds& thresholds) -> void
--- a/gypsumhub/decision/controllers/health_controller.h
+++ b/gypsumhub/decision/controllers/health_controller.h
@@ -20,6 +20,7 @@
 
 private:
     auto updateTrouble(service_record&, const detection_thresholds&) -> void;
+    auto endTrouble(service_record&) -> void;
     auto judgeTarget(service_record&, target_record&, const detection_thresholds&) -> void;
     auto followDeparture(service_record&, target_record&) -> bool;
     auto isConvicted(const service_record&, const target_record&, const pooled_scores&, const detection_thresholds&) const -> bool;
--- a/gypsumhub/decision/controllers/tick_controller.cpp
+++ b/gypsumhub/decision/controllers/tick_controller.cpp
@@ -43,7 +43,7 @@
 
 auto tick_controller::isUnsettled(const service_record& service) const -> bool
 {
-    return std::ranges::any_of(service.targets, [&](auto& target) { return isTargetUnsettled(target, m_board.now); });
+    return service.troubled || std::ranges::any_of(service.targets, [&](auto& target) { return isTargetUnsettled(target, m_board.now); });
 }
 
 auto tick_controller::updateRates(service_record& service) -> void
--- a/gypsumhub/decision/controllers/work_controller.cpp
+++ b/gypsumhub/decision/controllers/work_controller.cpp
@@ -22,6 +22,9 @@
     /// Open exchanges of one target that are counted.
     constexpr auto maxOverdue = size_t { 4 };
 
+    /// Mean slow likelihood of the siblings, below zero, from which slowness counts as shared.
+    constexpr auto sharedMargin = 0.25F;
+
     auto isSilence(attempt_result result) -> bool
     {
         return result == attempt_result::Silent || result == attempt_result::Overdue || result == attempt_result::HungAfterHeader;
@@ -181,7 +184,11 @@
     auto latency = report.endedAt - report.startedAt;
     auto& scores = target.scores;
     auto likelihood = service.latencies.slowLikelihood(latency, target.distance);
-    scores.slowScore = std::clamp(scores.slowScore + likelihood, 0.0F, scoreLimit);
+    auto position = static_cast<uint32_t>(&target - service.targets.data());
+    // As far as the siblings' latest answers are slow too, the slowness is the service's.
+    auto shared = std::max(0.0F, service.slowness.meanWithout(position, -sharedMargin) + sharedMargin);
+    service.slowness.add(position, likelihood);
+    scores.slowScore = std::clamp(scores.slowScore + likelihood - shared, 0.0F, scoreLimit);
     service.latencies.learn(latency, target.distance, m_board.now);
 }
 
--- a/gypsumhub/decision/pooled_evidence.cpp
+++ b/gypsumhub/decision/pooled_evidence.cpp
@@ -11,6 +11,9 @@
     /// Failures without a success between them that look like a dead path.
     constexpr auto unbrokenFailures = 2U;
 
+    /// What chance alone gives a slow score now and then; sums over many members would add it up.
+    constexpr auto chanceScore = 1.0F;
+
     auto nats(int32_t thousandths) -> float { return static_cast<float>(thousandths) / 1000; }
 
     auto isTrusted(const target_record& target, const evidence& item) -> bool
@@ -31,14 +34,15 @@
     auto accused = 0.0F;
     for (auto& opinion : target.opinions) {
         auto& item = opinion.item;
-        if (item.validUntil <= now)
+        // During a trial, what led to the ejection does not count again.
+        if (item.validUntil <= now || (target.state == health_state::Trial && item.state == health_state::Ejected))
             continue;
         if (item.errorScore <= nats(0) && item.failuresInRow == 0 && nats(item.errorScore) <= contradictingCredit)
             pooled.contradicted = true;
         if (!isTrusted(target, item))
             continue;
         accused += nats(item.errorScore);
-        pooled.slow += std::max(0.0F, nats(item.slowScore));
+        pooled.slow += std::max(0.0F, nats(item.slowScore) - chanceScore);
     }
     if (own.errorScore == 0)
         accused = std::max(0.0F, accused + own.credit);
--- a/gypsumhub/decision/service_record.h
+++ b/gypsumhub/decision/service_record.h
@@ -3,6 +3,7 @@
 #include "gypsumhub/config/configuration.h"
 #include "gypsumhub/decision/failure_baseline.h"
 #include "gypsumhub/decision/latency_baseline.h"
+#include "gypsumhub/decision/recent_likelihoods.h"
 #include "gypsumhub/decision/routing_snapshot.h"
 #include "gypsumhub/decision/target_record.h"
 
@@ -22,12 +23,15 @@
     bool servedHere { true };
     duration overdueAfter { seconds(1) };
     latency_baseline latencies;
+    recent_likelihoods slowness;
     failure_baseline failures;
     /// Exchanges since the last full second and the smoothed rate per second that follows from them.
     uint32_t recentExchanges { 0 };
     float exchangesPerSecond { 0 };
     /// Whether most targets look sick at once: the trouble is the service's, not one VM's.
     bool troubled { false };
+    /// Until when the service counts as troubled after the last sign of it.
+    time_point troubledUntil { 0 };
     /// Whether slot shares must be divided anew.
     bool slotsStale { true };
     /// Whether controllers must look at the service again before the next snapshot.
