--- a/gypsumhub/config/ini_document.cpp
+++ b/gypsumhub/config/ini_document.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-    /// Longest line that the library takes whole; it reserves three bytes for the line's end.
-    constexpr auto maxLineBytes = size_t { INI_MAX_LINE - 3 };
+    /// Longest line that is taken; the library reserves three bytes more for the line's end.
+    constexpr auto maxLineBytes = size_t { 4096 };
     /// The library cuts longer keys without a word.
     constexpr auto maxKeyBytes = size_t { 48 };
 
@@ -131,6 +131,8 @@
 
 auto parseIni(std::string_view text, std::string_view file, result_code code) -> leaf::result<ini_document>
 {
+    // The library's own limit of 200 bytes a line is too short for lists. It is process-wide, so it is set once.
+    [[maybe_unused]] static const auto lineLimit = ini_max_line = static_cast<int>(maxLineBytes) + 3;
     // A byte order mark is not part of the first line.
     if (text.starts_with("\xef\xbb\xbf"))
         text.remove_prefix(3);
--- a/unit_tests/config/ini_document_test.cpp
+++ b/unit_tests/config/ini_document_test.cpp
@@ -2,7 +2,6 @@
 #include "gypsumhub/config/ini_document.h"
 
 #include <doctest/doctest.h>
-#include <rapidcheck.h>
 
 namespace gypsumhub {
 
@@ -40,6 +39,13 @@
     CHECK(lines == std::vector<uint32_t> { 1, 4, 5, 6, 7 });
 }
 
+TEST_CASE("long lists are kept whole, and a line beyond the limit is a fault")
+{
+    auto parseValue = [](size_t length) { return parseIni("[a]\nk = " + std::string(length, 'x') + "\n", "f.ini", code); };
+    CHECK(parseValue(4000).value().sections[0].pairs[0].value.size() == 4000);
+    CHECK(faultsOf([&] { return parseValue(5000); }).faults.size() == 1);
+}
+
 TEST_CASE("a file that cannot be read is reported by path")
 {
     auto list = faultsOf([] { return readIni("/nonexistent/register.ini", code); });
