--- /dev/null
+++ b/fakes/naive_fleet.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "fakes/schedule_router.h"
+
+#include <vector>
+
+namespace gypsumhub {
+
+/// What a simple balancer does: round robin on each node, five errors in a row eject for 30 s, no floor, no sharing.
+class naive_fleet final : public schedule_router {
+public:
+    explicit naive_fleet(const schedule&);
+
+    auto start(schedule_environment&) -> void override;
+    auto choose(size_t node, std::span<const size_t> excluded, bool idempotent) -> std::optional<routed_choice> override;
+    auto report(size_t node, size_t target, attempt_report) -> void override;
+    auto tick() -> void override;
+    auto givesWork(size_t node, size_t target) const -> bool override;
+    auto overdueAt(size_t node, time_point sentAt) const -> time_point override;
+    auto slots(size_t node) const -> uint32_t override;
+
+private:
+    struct target_entry {
+        uint32_t errorsInRow { 0 };
+        time_point ejectedUntil;
+    };
+    struct node_entry {
+        size_t next { 0 };
+        std::vector<target_entry> targets;
+    };
+
+    auto inRotation(size_t node) const -> size_t;
+
+    schedule m_plan;
+    std::vector<node_entry> m_nodes;
+    schedule_environment* m_environment { nullptr };
+};
+
+} // namespace gypsumhub
--- /dev/null
+++ b/unit_tests/operator/schedule_test.cpp
@@ -0,0 +1,45 @@
+#include "fakes/schedule_run.h"
+
+#include <doctest/doctest.h>
+
+namespace gypsumhub {
+
+namespace {
+
+    // Schedules of several faults each that one test runs; the measurement runs ten thousand.
+    constexpr auto schedulesPerDeployment = uint64_t { 60 };
+
+} // namespace
+
+TEST_CASE("over random schedules of several faults the product keeps every promise, and the naive version does not")
+{
+    auto naiveBroke = uint64_t { 0 };
+    for (auto& deployment : { associationDeployment(), wroblewskiDeployment() }) {
+        for (auto seed = uint64_t { 1 }; seed <= schedulesPerDeployment; ++seed) {
+            auto plan = makeRandomSchedule(deployment, seed);
+            auto figures = runProduct(plan);
+            INFO(deployment.name << " seed " << seed);
+            CHECK(figures.floorViolations == 0);
+            CHECK(figures.twiceRun == 0);
+            CHECK(figures.falseNotRun == 0);
+            CHECK(figures.wrongOrCut == 0);
+            if (seed % 10 == 0) {
+                auto naive = runNaive(plan);
+                naiveBroke += naive.floorViolations + naive.twiceRun + naive.falseNotRun + naive.wrongOrCut;
+            }
+        }
+    }
+    CHECK(naiveBroke > 0);
+}
+
+TEST_CASE("the same schedule gives the same figures")
+{
+    auto plan = makeRandomSchedule(wroblewskiDeployment(), 7);
+    auto first = runProduct(plan);
+    auto second = runProduct(plan);
+    CHECK(first.answered == second.answered);
+    CHECK(first.taken == second.taken);
+    CHECK(first.detection == second.detection);
+}
+
+} // namespace gypsumhub
