--- a/gypsumhub/fleet/hearing_monitor.cpp
+++ b/gypsumhub/fleet/hearing_monitor.cpp
@@ -21,7 +21,7 @@
     if (now < pausedAfter)
         return std::nullopt;
     // What was heard before the pause is old, and the silence during it was not the peers'.
-    m_heard = false;
+    m_answered = false;
     m_isolated = false;
     m_isolatedFrom = now + m_isolationLimit;
     return now - (pausedAfter - m_maxTickGap);
@@ -29,7 +29,6 @@
 
 auto hearing_monitor::noteHeard(time_point now) -> void
 {
-    m_heard = true;
     m_isolated = false;
     m_isolatedFrom = now + m_isolationLimit;
 }
--- a/gypsumhub/fleet/hearing_monitor.h
+++ b/gypsumhub/fleet/hearing_monitor.h
@@ -6,7 +6,7 @@
 
 namespace gypsumhub {
 
-/// Judges this node's own hearing: whether its process was paused, whether it has heard a peer since, and whether it is cut
+/// Judges this node's own hearing: whether its process was paused, whether a peer has answered since, and whether it is cut
 /// off from everybody. A node that cannot trust its hearing must not accuse others.
 class hearing_monitor {
 public:
@@ -19,20 +19,23 @@
     /// Notes that the process runs. Returns the length of a pause that ended just now.
     auto noteActivity(time_point now) -> std::optional<duration>;
 
-    /// A peer was heard.
+    /// A peer was heard; the message may have waited in a socket during a pause.
     auto noteHeard(time_point now) -> void;
 
+    /// A peer answered what was asked since the start or the last pause.
+    auto noteAnswered() -> void { m_answered = true; }
+
     /// Judges the time since a peer was last heard; `othersExpected` is false when there is nobody to hear.
     auto update(time_point now, bool othersExpected) -> void;
 
-    /// Whether a peer was heard since the start and since the last pause.
-    auto hasHeard() const -> bool { return m_heard; }
+    /// Whether a peer answered since the start and since the last pause.
+    auto hasAnswer() const -> bool { return m_answered; }
     auto isIsolated() const -> bool { return m_isolated; }
 
 private:
     duration m_maxTickGap;
     duration m_isolationLimit;
-    bool m_heard { false };
+    bool m_answered { false };
     bool m_isolated { false };
     time_point m_isolatedFrom { never };
     time_point m_pausedAfter { never };
--- a/gypsumhub/fleet/membership.cpp
+++ b/gypsumhub/fleet/membership.cpp
@@ -24,6 +24,7 @@
     , m_listener(listener)
     , m_random(settings.seed)
     , m_hearing(settings.maxTickGap, settings.isolationLimit)
+    , m_schedule(settings.deadProbePeriod)
     , m_incarnation(settings.incarnation)
 {
 }
@@ -65,6 +66,7 @@
     m_probes.clear();
     forEachSuspected([&](member& entry) { entry.suspectedUntil = entry.suspectedUntil + *pause; });
     probeContacts(now);
+    m_listener.onPause();
     m_listener.onMembershipChange();
 }
 
@@ -85,6 +87,11 @@
     }
 }
 
+auto membership::isAlone() const -> bool
+{
+    return m_hearing.isIsolated() || !hasReachableOthers();
+}
+
 auto membership::hasReachableOthers() const -> bool
 {
     return std::ranges::any_of(
@@ -93,12 +100,12 @@
 
 auto membership::noteHeard(node_key sender, uint64_t incarnation, time_point now) -> void
 {
-    auto wasCertain = m_hearing.hasHeard() && !m_hearing.isIsolated();
+    auto wasIsolated = m_hearing.isIsolated();
     // After a cut the suspected get their time to refute anew.
     if (m_hearing.isIsolated())
         forEachSuspected([&](member& entry) { entry.suspectedUntil = now + m_settings.suspicion; });
     m_hearing.noteHeard(now);
-    if (!wasCertain)
+    if (wasIsolated)
         m_listener.onMembershipChange();
     adoptOne({ sender, incarnation, member_state::Alive }, now);
     // Whom others believe absent learns it here and can refute it.
@@ -118,30 +125,10 @@
 auto membership::probeNext(time_point now) -> void
 {
     m_nextProbe = now + m_settings.probeInterval;
-    if (auto subject = chooseSubject())
+    if (auto subject = m_schedule.next(m_rings.contacts(), m_table, m_random))
         probe(*subject, now);
 }
 
-auto membership::chooseSubject() -> std::optional<node_key>
-{
-    // Now and then try one that is believed dead: this is how parted regions find each other again.
-    if (m_settings.deadProbePeriod != 0 && m_counts.probes % m_settings.deadProbePeriod == m_settings.deadProbePeriod - 1) {
-        auto isDead = [](auto& entry) { return !entry.isReachable(); };
-        if (auto dead = m_table.pick(m_random, isDead))
-            return dead;
-    }
-    if (m_round.empty()) {
-        m_round.assign(m_rings.contacts().begin(), m_rings.contacts().end());
-        for (auto index = m_round.size(); index > 1; --index)
-            std::swap(m_round[index - 1], m_round[m_random.below(index)]);
-    }
-    if (m_round.empty())
-        return std::nullopt;
-    auto subject = m_round.back();
-    m_round.pop_back();
-    return subject;
-}
-
 auto membership::probe(node_key subject, time_point now) -> void
 {
     ++m_counts.probes;
@@ -248,6 +235,10 @@
         return;
     }
     auto done = *m_probes.take(message.sequence);
+    if (!m_hearing.hasAnswer()) {
+        m_hearing.noteAnswered();
+        m_listener.onMembershipChange();
+    }
     if (done.origin)
         m_sender.send(*done.origin, ping_ack_message { done.originSequence, message.incarnation, done.subject, true });
     adoptOne({ message.subject, message.incarnation, member_state::Alive }, now);
@@ -388,7 +379,7 @@
 {
     if (m_stopping)
         return false;
-    return m_hearing.hasHeard() || m_hearing.isIsolated() || !hasReachableOthers();
+    return m_hearing.hasAnswer() || isAlone();
 }
 
 } // namespace gypsumhub
--- a/gypsumhub/fleet/membership.h
+++ b/gypsumhub/fleet/membership.h
@@ -5,6 +5,7 @@
 #include "gypsumhub/fleet/hearing_monitor.h"
 #include "gypsumhub/fleet/member_table.h"
 #include "gypsumhub/fleet/membership_settings.h"
+#include "gypsumhub/fleet/probe_schedule.h"
 #include "gypsumhub/fleet/probe_table.h"
 
 #include <cstdint>
@@ -19,6 +20,8 @@
     virtual ~membership_listener() = default;
     /// `membership::alive` or `membership::isReady` gives another answer than before.
     virtual auto onMembershipChange() -> void = 0;
+    /// The process was paused: what was known before may be old.
+    virtual auto onPause() -> void = 0;
     /// The peer's process is another one than before: what the earlier one said no longer counts.
     virtual auto onPeerReplaced(node_key) -> void = 0;
 };
@@ -66,6 +69,9 @@
     /// Whether this node hears nobody although others should be there.
     auto isIsolated() const -> bool { return m_hearing.isIsolated(); }
 
+    /// Whether there is nobody to hear from: cut off, or all others dead or none registered.
+    auto isAlone() const -> bool;
+
     /// The nodes to push news to, nearer ones first.
     auto contacts() const -> std::span<const node_key> { return m_rings.contacts(); }
 
@@ -83,7 +89,6 @@
     auto probeNext(time_point now) -> void;
     auto probe(node_key subject, time_point now) -> void;
     auto probeContacts(time_point now) -> void;
-    auto chooseSubject() -> std::optional<node_key>;
     auto expireProbes(time_point now) -> void;
     auto askHelpers(outstanding_probe&, time_point now) -> void;
     auto endProbe(const outstanding_probe&, time_point now) -> void;
@@ -102,14 +107,13 @@
     membership_listener& m_listener;
     random_generator m_random;
     hearing_monitor m_hearing;
+    probe_schedule m_schedule;
     member_table m_table;
     contact_rings m_rings;
     claim_queue m_news;
     probe_table m_probes;
     membership_counts m_counts;
     uint64_t m_incarnation;
-    /// Contacts still to be probed in this round.
-    std::vector<node_key> m_round;
     bool m_stopping { false };
     time_point m_nextProbe {};
     time_point m_nextGossip {};
--- a/gypsumhub/fleet/peer.capnp
+++ b/gypsumhub/fleet/peer.capnp
@@ -101,6 +101,8 @@
     digest :group {
       revision @12 :RevisionId;
       membershipHash @13 :UInt64;
+      question @32 :UInt64;
+      answerTo @33 :UInt64;
     }
     revisionRequest :group {
       have @14 :RevisionId;
--- a/gypsumhub/fleet/peer.capnp.h
+++ b/gypsumhub/fleet/peer.capnp.h
@@ -2214,6 +2214,10 @@
 
   inline  ::uint64_t getMembershipHash() const;
 
+  inline  ::uint64_t getQuestion() const;
+
+  inline  ::uint64_t getAnswerTo() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2252,6 +2256,12 @@
   inline  ::uint64_t getMembershipHash();
   inline void setMembershipHash( ::uint64_t value);
 
+  inline  ::uint64_t getQuestion();
+  inline void setQuestion( ::uint64_t value);
+
+  inline  ::uint64_t getAnswerTo();
+  inline void setAnswerTo( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3737,6 +3747,8 @@
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::DIGEST);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename PeerMessage::Digest::Builder(_builder);
 }
@@ -4202,6 +4214,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t PeerMessage::Digest::Reader::getQuestion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerMessage::Digest::Builder::getQuestion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Digest::Builder::setQuestion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerMessage::Digest::Reader::getAnswerTo() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerMessage::Digest::Builder::getAnswerTo() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Digest::Builder::setAnswerTo( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PeerMessage::RevisionRequest::Reader::hasHave() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/gypsumhub/fleet/peer_codec.cpp
+++ b/gypsumhub/fleet/peer_codec.cpp
@@ -161,6 +161,8 @@
             auto digest = out.initDigest();
             writeRevision(digest.initRevision(), message.revision);
             digest.setMembershipHash(message.membershipHash);
+            digest.setQuestion(message.question);
+            digest.setAnswerTo(message.answerTo);
         }
 
         auto operator()(const revision_request_message& message) -> void
@@ -304,7 +306,9 @@
         return peer_message(claim_record_ack_message { in.getClaimRecordAck().getRequestId(), in.getClaimRecordAck().getHeld() });
     case wire::PeerMessage::DIGEST: {
         BOOST_LEAF_AUTO(revision, readRevision(in.getDigest().getRevision()));
-        return peer_message(digest_message { revision, in.getDigest().getMembershipHash() });
+        auto digest = in.getDigest();
+        return peer_message(
+            digest_message { revision, digest.getMembershipHash(), digest.getQuestion(), digest.getAnswerTo() });
     }
     case wire::PeerMessage::REVISION_REQUEST:
         return readRequest(in.getRevisionRequest());
--- a/gypsumhub/fleet/peer_message.h
+++ b/gypsumhub/fleet/peer_message.h
@@ -50,6 +50,10 @@
     revision_id revision;
     /// Over the nodes that the sender does not believe alive.
     uint64_t membershipHash { 0 };
+    /// Unless 0, the receiver shall answer with its own digest, also when both are equal.
+    uint64_t question { 0 };
+    /// The question that this digest answers, or 0.
+    uint64_t answerTo { 0 };
 };
 
 /// Asks for the way from revision `have` to revision `wanted`; a `have` of 0 asks for a whole configuration.
--- /dev/null
+++ b/gypsumhub/fleet/probe_schedule.cpp
@@ -0,0 +1,33 @@
+#include "gypsumhub/fleet/probe_schedule.h"
+
+#include <utility>
+
+namespace gypsumhub {
+
+probe_schedule::probe_schedule(uint32_t deadProbePeriod)
+    : m_deadProbePeriod(deadProbePeriod)
+{
+}
+
+auto probe_schedule::next(std::span<const node_key> contacts, const member_table& table, random_generator& random)
+    -> std::optional<node_key>
+{
+    ++m_count;
+    if (m_deadProbePeriod != 0 && m_count % m_deadProbePeriod == 0) {
+        auto isDead = [](const member& entry) { return !entry.isReachable(); };
+        if (auto dead = table.pick(random, isDead))
+            return dead;
+    }
+    if (m_round.empty()) {
+        m_round.assign(contacts.begin(), contacts.end());
+        for (auto index = m_round.size(); index > 1; --index)
+            std::swap(m_round[index - 1], m_round[random.below(index)]);
+    }
+    if (m_round.empty())
+        return std::nullopt;
+    auto subject = m_round.back();
+    m_round.pop_back();
+    return subject;
+}
+
+} // namespace gypsumhub
--- a/unit_tests/fleet/membership_fleet.h
+++ b/unit_tests/fleet/membership_fleet.h
@@ -38,6 +38,7 @@
     }
 
     auto onMembershipChange() -> void override { ++changes; }
+    auto onPause() -> void override { }
     auto onPeerReplaced(node_key peer) -> void override { replaced.push_back(peer); }
 
 private:
