--- /dev/null
+++ b/fakes/fake_network_fleet.cpp
@@ -0,0 +1,164 @@
+#include "fakes/fake_network_fleet.h"
+
+#include <algorithm>
+
+namespace gypsumhub {
+
+namespace {
+
+    constexpr auto watchTime = seconds(20);
+    constexpr auto failedReadPause = seconds(1);
+    // Calls that loading a whole configuration takes: head, manifest and chunks.
+    constexpr auto wholeReadCalls = uint64_t { 20 };
+    constexpr auto deltaReadCalls = uint64_t { 1 };
+    constexpr auto seedContacts = uint64_t { 3 };
+
+} // namespace
+
+fake_fleet_end::fake_fleet_end(fake_network_fleet& fleet, const membership_settings& membershipSettings,
+    const spreader_settings& spreaderSettings, const revision_id& first)
+    : source(fleet.history)
+    , node(membershipSettings, spreaderSettings, source, fleet.network.senderOf(membershipSettings.self), *this)
+    , m_fleet(fleet)
+    , m_key(membershipSettings.self)
+{
+    source.adopt(first);
+    fleet.network.setNode(m_key, this);
+    learnNodes(fleet.network.now());
+    // A node without configuration knows some seeds, as its settings would name them.
+    for (auto seed = uint64_t { 1 }; seed <= seedContacts; ++seed)
+        node.handleContact({ seed });
+}
+
+fake_fleet_end::~fake_fleet_end()
+{
+    m_fleet.network.setNode(m_key, nullptr);
+}
+
+auto fake_fleet_end::learnNodes(time_point now) -> void
+{
+    if (m_knowsNodes || source.current().number == 0)
+        return;
+    m_knowsNodes = true;
+    node.setNodes(m_fleet.nodes, now);
+}
+
+auto fake_fleet_end::onTick(time_point now) -> void
+{
+    learnNodes(now);
+    node.tick(now);
+    readStore(now);
+}
+
+auto fake_fleet_end::onMessage(node_key sender, peer_message message, time_point now) -> void
+{
+    node.handle(sender, message, now);
+    learnNodes(now);
+}
+
+auto fake_fleet_end::onRevisionAdopted(const revision_id&) -> void
+{
+    adoptedAt = m_fleet.network.now();
+    // Before the spreader tells the contacts, they must be known.
+    learnNodes(adoptedAt);
+}
+
+auto fake_fleet_end::readStore(time_point now) -> void
+{
+    if (!node.readsStore(now))
+        return;
+    // A new watch each time the last one ran out; each ends with a plain read of the head.
+    if (now >= m_watchUntil) {
+        m_watchUntil = now + (m_fleet.storeUp ? watchTime : failedReadPause);
+        m_fleet.storeCalls += 2;
+    }
+    if (!m_fleet.storeUp || m_fleet.storeHead == source.current())
+        return;
+    auto isWhole = source.current().number == 0;
+    if (!source.adopt(m_fleet.storeHead)) {
+        refusals.push_back(result_code::ConfigurationForked);
+        return;
+    }
+    m_fleet.storeCalls += isWhole ? wholeReadCalls : deltaReadCalls;
+    adoptedAt = now;
+    learnNodes(now);
+    node.announceRevision(now);
+}
+
+fake_network_fleet::fake_network_fleet(const settings& wanted)
+    : network(wanted.seed)
+    , m_settings(wanted)
+{
+    auto firstRegion = wanted.dataCentres / 2 + wanted.dataCentres % 2;
+    for (auto index = uint64_t { 0 }; index < uint64_t { wanted.dataCentres } * wanted.perDataCentre; ++index) {
+        auto dataCentre = static_cast<uint16_t>(index / wanted.perDataCentre);
+        nodes.push_back({ { index + 1 }, dataCentre, static_cast<uint16_t>(dataCentre < firstRegion ? 0 : 1) });
+    }
+    network.setLinks(usualLinks());
+    firstRevision = history.add({});
+    storeHead = firstRevision;
+    for (auto& node : nodes)
+        start(node.key, 1'000'000'000, wanted.startsConfigured ? firstRevision : revision_id {});
+}
+
+fake_network_fleet::~fake_network_fleet()
+{
+    // The ends leave the network as they go.
+    ends.clear();
+}
+
+auto fake_network_fleet::start(node_key key, uint64_t incarnation, const revision_id& first) -> void
+{
+    auto membershipSettings = m_settings.membership;
+    membershipSettings.self = key;
+    membershipSettings.incarnation = incarnation;
+    membershipSettings.seed = m_settings.seed * 1'000'003 + key.value * 7919 + incarnation;
+    auto spreaderSettings = m_settings.spreader;
+    spreaderSettings.self = key;
+    spreaderSettings.seed = membershipSettings.seed + 1;
+    ends[key].reset();
+    ends[key] = std::make_unique<fake_fleet_end>(*this, membershipSettings, spreaderSettings, first);
+}
+
+auto fake_network_fleet::publish() -> revision_id
+{
+    storeHead = history.add(storeHead);
+    return storeHead;
+}
+
+auto fake_network_fleet::countAt(const revision_id& revision) const -> std::size_t
+{
+    auto isAt = [&](auto& entry) { return entry.second && entry.second->source.current() == revision; };
+    return static_cast<std::size_t>(std::ranges::count_if(ends, isAt));
+}
+
+auto fake_network_fleet::runUntilAllAt(const revision_id& revision, time_point limit) -> time_point
+{
+    auto isBehind = [&](auto& entry) { return entry.second && entry.second->source.current() != revision; };
+    while (std::ranges::any_of(ends, isBehind)) {
+        if (network.now() >= limit)
+            return never;
+        network.runFor(milliseconds(20));
+    }
+    auto last = time_point {};
+    for (auto& [key, end] : ends) {
+        if (end)
+            last = std::max(last, end->adoptedAt);
+    }
+    return last;
+}
+
+auto fake_network_fleet::distance(node_key a, node_key b) const -> peer_distance
+{
+    return distanceBetween(nodes[a.value - 1], nodes[b.value - 1]);
+}
+
+auto fake_network_fleet::usualLinks() -> std::function<fake_network::link_quality(node_key, node_key)>
+{
+    return [this](node_key from, node_key to) {
+        constexpr auto delays = std::array { microseconds(200), microseconds(1500), milliseconds(12) };
+        return fake_network::link_quality { delays[static_cast<std::size_t>(distance(from, to))], m_settings.loss };
+    };
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/fakes/fake_network_fleet.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "fakes/fake_network.h"
+#include "fakes/fake_network_source.h"
+#include "gypsumhub/fleet/fleet_node.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace gypsumhub {
+
+class fake_network_fleet;
+
+/// One `fleet_node` on a fake network, reading a store that is a variable of its fleet.
+class fake_fleet_end final : public fake_network_node, public fleet_listener {
+public:
+    fake_fleet_end(fake_network_fleet&, const membership_settings&, const spreader_settings&, const revision_id& first);
+    ~fake_fleet_end() override;
+
+    auto onTick(time_point now) -> void override;
+    auto onMessage(node_key sender, peer_message, time_point now) -> void override;
+    auto onMembership(const membership_event& event) -> void override { alive = event.alive; }
+    auto onPeerLost(const peer_lost_event&) -> void override { }
+    auto onRevisionAdopted(const revision_id&) -> void override;
+    auto onRevisionRefused(result_code code, const revision_id&, node_key) -> void override { refusals.push_back(code); }
+
+    fake_network_source source;
+    fleet_node node;
+    std::vector<node_key> alive;
+    std::vector<result_code> refusals;
+    /// When the revision now in force came.
+    time_point adoptedAt {};
+
+private:
+    auto readStore(time_point now) -> void;
+    auto learnNodes(time_point now) -> void;
+
+    fake_network_fleet& m_fleet;
+    node_key m_key;
+    time_point m_watchUntil {};
+    bool m_knowsNodes { false };
+};
+
+/// A fleet of `fleet_node`s: `perDataCentre` nodes in each data centre; the first 3 of 5 data centres (half of other counts,
+/// rounded up) form one region, the rest another.
+class fake_network_fleet {
+public:
+    struct settings {
+        uint16_t dataCentres { 4 };
+        uint16_t perDataCentre { 10 };
+        uint64_t seed { 1 };
+        double loss { 0 };
+        membership_settings membership {};
+        spreader_settings spreader {};
+        /// Whether nodes start with the first revision, or with nothing.
+        bool startsConfigured { true };
+    };
+
+    explicit fake_network_fleet(const settings&);
+    ~fake_network_fleet();
+
+    auto start(node_key, uint64_t incarnation, const revision_id& first) -> void;
+    auto kill(node_key key) -> void { ends[key].reset(); }
+
+    /// A child of the store's head becomes the head.
+    auto publish() -> revision_id;
+
+    /// Running nodes whose revision in force is this one.
+    auto countAt(const revision_id&) const -> std::size_t;
+    /// Runs until all running nodes have the revision; returns when the last took it, or `never` when `limit` passed.
+    auto runUntilAllAt(const revision_id&, time_point limit) -> time_point;
+
+    auto distance(node_key, node_key) const -> peer_distance;
+    /// The usual delays: 0.2 ms, 1.5 ms and 12 ms by distance, and the loss of the settings.
+    auto usualLinks() -> std::function<fake_network::link_quality(node_key, node_key)>;
+
+    fake_network network;
+    fake_history history;
+    std::vector<registered_node> nodes;
+    /// What nodes started with.
+    revision_id firstRevision;
+    revision_id storeHead;
+    bool storeUp { true };
+    uint64_t storeCalls { 0 };
+    std::map<node_key, std::unique_ptr<fake_fleet_end>> ends;
+
+private:
+    settings m_settings;
+};
+
+} // namespace gypsumhub
--- a/gypsumhub/fleet/configuration_spreader.cpp
+++ b/gypsumhub/fleet/configuration_spreader.cpp
@@ -14,6 +14,8 @@
     constexpr auto farDigestPeriod = uint64_t { 6 };
     // A peer that failed to deliver is left alone for so long.
     constexpr auto failedPeerPause = seconds(3);
+    // A peer whose records do not reach back to ours is left alone for longer, because a whole transfer was in vain.
+    constexpr auto gapPause = minutes(1);
 
 } // namespace
 
@@ -67,6 +69,7 @@
 auto configuration_spreader::announce(time_point now) -> void
 {
     m_confirmed = true;
+    m_lagsTooFar = false;
     m_offers.dropUpTo(m_source.current());
     if (m_download && m_download->have() != m_source.current())
         m_download.reset();
@@ -144,10 +147,16 @@
     request(now);
 }
 
+auto configuration_spreader::answerDeadline(time_point now) const -> time_point
+{
+    // Changes are small and peers many; a whole configuration may wait its turn at a busy peer.
+    return now + (m_source.current().number == 0 ? m_settings.partTimeout : m_settings.answerTimeout);
+}
+
 auto configuration_spreader::request(time_point now) -> void
 {
     ++m_counts.requests;
-    m_sender.send(m_download->peer(), m_download->makeRequest(now + m_settings.partTimeout));
+    m_sender.send(m_download->peer(), m_download->makeRequest(answerDeadline(now)));
 }
 
 auto configuration_spreader::handle(node_key sender, const revision_request_message& message, time_point now) -> void
@@ -162,7 +171,7 @@
 {
     if (!m_download)
         return;
-    switch (m_download->put(sender, message, now + m_settings.partTimeout)) {
+    switch (m_download->put(sender, message, answerDeadline(now))) {
     case revision_download::progress::Unrelated:
     case revision_download::progress::Waiting:
         return;
@@ -200,10 +209,12 @@
         announce(now);
         return;
     }
-    // A chunk missing is the peer's trouble; anything else is the revision's, whoever offers it.
-    if (code == result_code::ConfigurationChunkMissing)
-        m_offers.postpone(peer, now + failedPeerPause);
-    else
+    // With records missing in between neither history is proved: the store keeps them all, so this node reads it. Anything else
+    // is the revision's fault, whoever offers it.
+    if (code == result_code::ConfigurationChunkMissing) {
+        m_lagsTooFar = true;
+        m_offers.postpone(peer, now + gapPause);
+    } else
         m_offers.refuse(target);
     noteRefusal(code, target, peer);
     pursue(now);
@@ -281,7 +292,7 @@
     if (!m_started || now < m_learnUntil)
         return false;
     if (m_source.current().number != 0)
-        return isRelay();
+        return m_lagsTooFar || isRelay();
     // Peers that hold a revision are asked first; the store's head may be older than theirs.
     return m_offers.empty() && !m_download && now >= m_readAlone;
 }
--- a/gypsumhub/fleet/configuration_spreader.h
+++ b/gypsumhub/fleet/configuration_spreader.h
@@ -80,6 +80,7 @@
     auto reportFork(node_key sender, const revision_id&) -> void;
     auto pursue(time_point now) -> void;
     auto beginDownload(const revision_offer&, time_point now) -> void;
+    auto answerDeadline(time_point now) const -> time_point;
     auto request(time_point now) -> void;
     auto finishDownload(time_point now) -> void;
     auto noteRefusal(result_code, const revision_id&, node_key peer) -> void;
@@ -103,6 +104,8 @@
     /// Tells answers to this node's latest question from older ones.
     uint64_t m_question;
     bool m_confirmed { false };
+    /// Whether no peer can prove that its revision continues ours.
+    bool m_lagsTooFar { false };
     /// Until when a node without configuration only listens.
     time_point m_learnUntil { never };
     /// When a node without configuration and without a peer that has one reads the store.
--- a/gypsumhub/fleet/spreader_settings.h
+++ b/gypsumhub/fleet/spreader_settings.h
@@ -24,7 +24,9 @@
     duration coldReadSpread { seconds(3) };
     /// How long a node that is no reader waits for nearer peers before it fetches from another region.
     duration farDelay { seconds(3) };
-    /// How long a peer may take for the next part.
+    /// How long a peer may take to answer a request for changes; another is asked then.
+    duration answerTimeout { seconds(1) };
+    /// How long a peer may take for the next part of a whole configuration.
     duration partTimeout { seconds(3) };
     /// Limits of what this node sends of revisions, by distance.
     upload_queue::rates uploadBytesPerSecond { 8'000'000, 4'000'000, 500'000 };
--- /dev/null
+++ b/gypsumhub/fleet/verified_configuration.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "gypsumhub/config/config_revision.h"
+#include "gypsumhub/config/configuration.h"
+#include "gypsumhub/config/revision_transfer.h"
+#include "gypsumhub/fleet/configuration_source.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+namespace gypsumhub {
+
+/// The verified revision that a node holds, with the configuration built from it. Only ever moves forward along one history.
+/// Single-threaded; what it hands out is immutable.
+class verified_configuration final : public configuration_source {
+public:
+    /// Called after a revision is in force, from within the call that put it there.
+    using configuration_listener = std::function<void(std::shared_ptr<const configuration>)>;
+
+    explicit verified_configuration(configuration_listener);
+
+    auto current() const -> revision_id override;
+    auto partsTo(const revision_id& wanted, const revision_id& have) const -> std::unique_ptr<revision_part_source> override;
+    auto beginUpdate() -> std::unique_ptr<revision_part_sink> override;
+
+    /// The revision in force, or null.
+    auto revision() const -> const std::shared_ptr<const config_revision>& { return m_revision; }
+    /// The configuration in force, or null.
+    auto config() const -> const std::shared_ptr<const configuration>& { return m_config; }
+
+    /// Takes a revision that was read from the store and verified against `held`. False when it is no later than the one in
+    /// force. Fails with `ConfigurationForked` when the one in force is not in its history, and with
+    /// `ConfigurationChunkMissing` when that cannot be seen, because the revision in force moved on meanwhile; load again then.
+    auto adopt(std::shared_ptr<const config_revision>, const revision_id& held) -> leaf::result<bool>;
+
+private:
+    class part_sink;
+
+    auto putInForce(revision_update) -> leaf::result<void>;
+
+    configuration_listener m_listener;
+    std::shared_ptr<const config_revision> m_revision;
+    std::shared_ptr<const configuration> m_config;
+    /// Latest revisions, kept for transfers that began before the newest; unchanged chunks are shared between them.
+    std::deque<std::shared_ptr<const config_revision>> m_kept;
+};
+
+} // namespace gypsumhub
