--- /dev/null
+++ b/unit_tests/decision/request/claim_explorer_test.cpp
@@ -0,0 +1,94 @@
+#include "claim_world.h"
+
+#include <doctest/doctest.h>
+#include <unordered_set>
+
+namespace gypsumhub {
+
+namespace {
+
+    // Mutation: the backup voter's record is skipped, one vote is enough.
+    class one_vote_policy final : public claim_policy {
+    public:
+        auto votesNeeded(size_t) const -> size_t override { return 1; }
+    };
+
+    // Mutation: a resend is dispatched without proof that the earlier attempt did not run.
+    class no_proof_policy final : public claim_policy {
+    public:
+        auto mayVote(uint32_t, const claim_knowledge&) const -> bool override { return true; }
+    };
+
+} // namespace
+
+auto explore(const exploration_limits& limits) -> exploration_result
+{
+    auto result = exploration_result {};
+    auto seen = std::unordered_set<uint64_t> {};
+    auto open = std::vector<claim_world> { claim_world(limits) };
+    seen.insert(open.back().fingerprint());
+    while (!open.empty() && result.broken.empty()) {
+        auto current = std::move(open.back());
+        open.pop_back();
+        ++result.states;
+        result.broken = current.broken();
+        result.firstRan += current.requests()[0].ran;
+        result.secondRan += current.requests()[1].ran;
+        result.replayed += std::ranges::any_of(current.requests(), &caller_request::toldAnswer);
+        current.forEachNext([&](claim_world&& next) {
+            if (seen.insert(next.fingerprint()).second)
+                open.push_back(std::move(next));
+        });
+    }
+    return result;
+}
+
+namespace {
+
+    auto checkHolds(const exploration_limits& limits) -> void
+    {
+        auto result = explore(limits);
+        INFO("states " << result.states);
+        CHECK(result.broken == "");
+        // The exploration must reach the outcomes that it is about.
+        CHECK(result.firstRan > 0);
+        CHECK(result.secondRan > 0);
+        CHECK(result.replayed > 0);
+        MESSAGE("states " << result.states << ", first ran in " << result.firstRan << ", second ran in " << result.secondRan);
+    }
+
+} // namespace
+
+TEST_CASE("at most once: numbered attempts, a crash")
+{
+    checkHolds({ .numbered = true, .crashes = 1 });
+}
+
+TEST_CASE("at most once: numbered attempts, a lost and a doubled message")
+{
+    checkHolds({ .numbered = true, .losses = 1, .duplicates = 1 });
+}
+
+TEST_CASE("at most once: attempts without numbers, a crash")
+{
+    checkHolds({ .numbered = false, .crashes = 1 });
+}
+
+TEST_CASE("at most once: attempts without numbers, a register that changes one voter on each node at another moment")
+{
+    checkHolds({ .numbered = false, .registerChanges = true, .timePasses = false });
+}
+
+TEST_CASE("the model check catches a claim that is dispatched without the second record")
+{
+    auto result = explore({ .numbered = false, .policy = std::make_shared<one_vote_policy>() });
+    CHECK(result.broken == "ran twice");
+}
+
+TEST_CASE("the model check catches a second attempt that is dispatched without proof")
+{
+    auto result = explore({ .numbered = true, .crashes = 1, .policy = std::make_shared<no_proof_policy>() });
+    CHECK(result.broken != "");
+}
+
+} // namespace gypsumhub
