--- a/fakes/fake_network_source.cpp
+++ b/fakes/fake_network_source.cpp
@@ -112,7 +112,7 @@
     return std::make_unique<fake_parts>(target, have.number == 0 ? m_history.wholeParts : 1, m_history.partBytes);
 }
 
-auto fake_network_source::beginUpdate() -> std::unique_ptr<revision_part_sink>
+auto fake_network_source::beginUpdate(const revision_id&) -> std::unique_ptr<revision_part_sink>
 {
     return std::make_unique<part_sink>(*this);
 }
--- a/fakes/fake_network_source.h
+++ b/fakes/fake_network_source.h
@@ -39,7 +39,7 @@
 
     auto current() const -> revision_id override { return m_current; }
     auto partsTo(const revision_id& wanted, const revision_id& have) const -> std::unique_ptr<revision_part_source> override;
-    auto beginUpdate() -> std::unique_ptr<revision_part_sink> override;
+    auto beginUpdate(const revision_id& wanted) -> std::unique_ptr<revision_part_sink> override;
 
     /// Takes a revision as a reader of the store would; false when it does not continue the current one.
     auto adopt(const revision_id&) -> bool;
--- a/gypsumhub/fleet/configuration_source.h
+++ b/gypsumhub/fleet/configuration_source.h
@@ -42,8 +42,8 @@
     virtual auto current() const -> revision_id = 0;
     /// The way from `have` to `wanted`, or to the current revision when `wanted` is no longer at hand.
     virtual auto partsTo(const revision_id& wanted, const revision_id& have) const -> std::unique_ptr<revision_part_source> = 0;
-    /// Begins to put together a revision over the current one.
-    virtual auto beginUpdate() -> std::unique_ptr<revision_part_sink> = 0;
+    /// Begins to put together the parts that lead from the current revision to `wanted`.
+    virtual auto beginUpdate(const revision_id& wanted) -> std::unique_ptr<revision_part_sink> = 0;
 };
 
 } // namespace gypsumhub
--- a/gypsumhub/fleet/revision_download.cpp
+++ b/gypsumhub/fleet/revision_download.cpp
@@ -6,7 +6,7 @@
 
 revision_download::revision_download(configuration_source& source, const revision_offer& offer)
     : m_source(source)
-    , m_sink(source.beginUpdate())
+    , m_sink(source.beginUpdate(offer.revision))
     , m_target(offer.revision)
     , m_have(source.current())
     , m_peer(offer.peer)
@@ -35,7 +35,7 @@
             return progress::Unrelated;
         // The peer is further on and the revision that was wanted is no longer at hand: begin anew with the later one.
         m_target = message.revision;
-        m_sink = m_source.beginUpdate();
+        m_sink = m_source.beginUpdate(m_target);
     }
     auto taken = leaf::try_handle_all(
         [&]() -> leaf::result<bool> {
--- a/gypsumhub/fleet/verified_configuration.cpp
+++ b/gypsumhub/fleet/verified_configuration.cpp
@@ -32,10 +32,10 @@
 /// `revision_assembler` behind the interface of the spreader.
 class verified_configuration::part_sink final : public revision_part_sink {
 public:
-    explicit part_sink(verified_configuration& owner)
+    part_sink(verified_configuration& owner, const revision_id& wanted)
         : m_owner(owner)
         , m_base(owner.current())
-        , m_assembler(owner.m_revision)
+        , m_assembler(owner.m_revision, wanted)
     {
     }
 
@@ -80,9 +80,9 @@
     return std::make_unique<held_parts>(kept == m_kept.end() ? m_revision : *kept, have);
 }
 
-auto verified_configuration::beginUpdate() -> std::unique_ptr<revision_part_sink>
+auto verified_configuration::beginUpdate(const revision_id& wanted) -> std::unique_ptr<revision_part_sink>
 {
-    return std::make_unique<part_sink>(*this);
+    return std::make_unique<part_sink>(*this, wanted);
 }
 
 auto verified_configuration::adopt(std::shared_ptr<const config_revision> next, const revision_id& held) -> leaf::result<bool>
--- a/gypsumhub/fleet/verified_configuration.h
+++ b/gypsumhub/fleet/verified_configuration.h
@@ -22,7 +22,7 @@
 
     auto current() const -> revision_id override;
     auto partsTo(const revision_id& wanted, const revision_id& have) const -> std::unique_ptr<revision_part_source> override;
-    auto beginUpdate() -> std::unique_ptr<revision_part_sink> override;
+    auto beginUpdate(const revision_id& wanted) -> std::unique_ptr<revision_part_sink> override;
 
     /// The revision in force, or null.
     auto revision() const -> const std::shared_ptr<const config_revision>& { return m_revision; }
