--- a/gypsumhub/decision/controllers/evidence_controller.cpp
+++ b/gypsumhub/decision/controllers/evidence_controller.cpp
@@ -89,7 +89,7 @@
         std::erase_if(target.opinions, [&](auto& opinion) { return opinion.item.validUntil <= m_board.now; });
         auto& scores = target.scores;
         // Members tell of failures only, so a span without any means that all of them had success meanwhile.
-        if (scores.errorScore == 0 || scores.overdueOpen > 0 || m_board.now < scores.fadeAt || !isInRotation(target))
+        if (scores.errorScore == 0 || !scores.overdue.empty() || m_board.now < scores.fadeAt || !isInRotation(target))
             continue;
         scores.errorScore = scores.errorScore < restoringScore ? 0 : scores.errorScore / 2;
         scores.connectionScore /= 2;
@@ -110,11 +110,9 @@
         item.validUntil = std::min(target.drainingUntil, m_board.now + drainingValidity);
     if (target.state == health_state::Ejected || target.state == health_state::Trial)
         item.validUntil = m_board.now + ejectedValidity;
-    // Trouble of the own path is nobody else's business, and a claim to ejection carries the score that led to it.
+    // Trouble of the own path is nobody else's business.
     if (target.pathSuspect)
         item.errorScore = 0;
-    if (target.state == health_state::Ejected)
-        item.errorScore = std::max(item.errorScore, thousandths(target.ejectionScore));
     return item;
 }
 
