Borrow idle slots, bound suspects by their turns, keep time in the queue for the request itself

Cause: exact slot shares leave a member of a small service with two or three slots; when those targets are out it refused although most slots of the service were idle. A target that fails fast kept its slots free and drew the work. The queue sent requests with hardly any time left, whose deadlines then cut them off. Change: a slot beyond the own share may be taken while the service's borrow gate is open (closed by a shed for 0.1 to 5 s, doubling); suspects wait when they are 4 turns ahead; the queue keeps three mean holds.

--- a/fakes/naive_fleet.cpp
+++ b/fakes/naive_fleet.cpp
@@ -26,7 +26,7 @@
     m_environment = &environment;
 }
 
-auto naive_fleet::choose(size_t node, std::span<const size_t> excluded, bool) -> std::optional<routed_choice>
+auto naive_fleet::choose(size_t node, std::span<const size_t> excluded, bool, bool) -> std::optional<routed_choice>
 {
     auto& entry = m_nodes[node];
     for (auto tries = size_t { 0 }; tries < m_plan.targets; ++tries) {
--- a/fakes/naive_fleet.h
+++ b/fakes/naive_fleet.h
@@ -12,7 +12,7 @@
     explicit naive_fleet(const schedule&);
 
     auto start(schedule_environment&) -> void override;
-    auto choose(size_t node, std::span<const size_t> excluded, bool idempotent) -> std::optional<routed_choice> override;
+    auto choose(size_t node, std::span<const size_t> excluded, bool idempotent, bool mayBorrow) -> std::optional<routed_choice> override;
     auto report(size_t node, size_t target, attempt_report) -> void override;
     auto tick() -> void override;
     auto givesWork(size_t node, size_t target) const -> bool override;
--- a/fakes/schedule_core_router.cpp
+++ b/fakes/schedule_core_router.cpp
@@ -131,13 +131,13 @@
     }
 }
 
-auto schedule_core_router::choose(size_t node, std::span<const size_t> excluded, bool idempotent) -> std::optional<routed_choice>
+auto schedule_core_router::choose(size_t node, std::span<const size_t> excluded, bool idempotent, bool mayBorrow) -> std::optional<routed_choice>
 {
     auto keys = std::array<vm_key, 8> {};
     auto count = std::min(excluded.size(), keys.size());
     for (auto index = size_t { 0 }; index < count; ++index)
         keys[index] = m_keys[excluded[index]];
-    auto chosen = chooseTarget(*m_nodes[node]->view(), { std::span(keys).first(count), idempotent, m_random() });
+    auto chosen = chooseTarget(*m_nodes[node]->view(), { std::span(keys).first(count), idempotent, m_random(), mayBorrow });
     if (!chosen)
         return std::nullopt;
     return routed_choice { indexOf(chosen->key), chosen->trial, std::move(chosen->lease) };
--- a/fakes/schedule_router.h
+++ b/fakes/schedule_router.h
@@ -42,7 +42,7 @@
 public:
     virtual ~schedule_router() = default;
     virtual auto start(schedule_environment&) -> void = 0;
-    virtual auto choose(size_t node, std::span<const size_t> excluded, bool idempotent) -> std::optional<routed_choice> = 0;
+    virtual auto choose(size_t node, std::span<const size_t> excluded, bool idempotent, bool mayBorrow) -> std::optional<routed_choice> = 0;
     virtual auto report(size_t node, size_t target, attempt_report) -> void = 0;
     virtual auto tick() -> void = 0;
     /// Whether the node gives the target ordinary work.
--- a/gypsumhub/decision/request/admission_queue.cpp
+++ b/gypsumhub/decision/request/admission_queue.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+    // Time kept for the request itself, in mean holds: service times are heavy-tailed, and one that is cut off by its deadline
+    // has taken a slot for nothing.
+    constexpr auto reservedHolds = 3;
     // Weight of one new hold time in the smoothed mean: 1/16.
     constexpr auto smoothing = 16;
     // A single hold may not move the mean by more than this factor; one hung request is no estimate.
@@ -71,14 +74,14 @@
 
 auto admission_queue::canEndInTime(time_point deadline, time_point now) const -> bool
 {
-    return now + m_meanHold < deadline;
+    return now + m_meanHold * reservedHolds < deadline;
 }
 
 auto admission_queue::nextExpiry() const -> time_point
 {
     if (m_waiting.empty())
         return never;
-    return m_waiting.begin()->first - m_meanHold;
+    return m_waiting.begin()->first - m_meanHold * reservedHolds;
 }
 
 } // namespace gypsumhub
--- a/gypsumhub/decision/request/retry_budget.h
+++ b/gypsumhub/decision/request/retry_budget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gypsumhub/core/time_point.h"
+#include "gypsumhub/decision/request/borrow_gate.h"
 
 #include <atomic>
 #include <cstdint>
@@ -21,6 +22,10 @@
     /// Takes one retry; false when the budget is spent. The reserve refills by one retry a second.
     auto take(time_point now) -> bool;
 
+    /// Whether the service's requests may borrow slots; learns from the sheds that `request_state` sees.
+    auto borrowing() -> borrow_gate& { return m_borrowing; }
+    auto borrowing() const -> const borrow_gate& { return m_borrowing; }
+
     /// Whole retries that are left.
     auto left() const -> int64_t;
 
@@ -30,6 +35,7 @@
     // In hundredths of a retry.
     std::atomic<int64_t> m_left { reserve * 100 };
     std::atomic<int64_t> m_nextRefillNs { 0 };
+    borrow_gate m_borrowing;
 };
 
 } // namespace gypsumhub
--- a/gypsumhub/decision/request/target_chooser.cpp
+++ b/gypsumhub/decision/request/target_chooser.cpp
@@ -1,8 +1,7 @@
 #include "gypsumhub/decision/request/target_chooser.h"
 
 #include <algorithm>
-#include <cassert>
-#include <limits>
+#include <array>
 
 namespace gypsumhub {
 
@@ -13,31 +12,39 @@
     constexpr auto fullWeight = uint64_t { 1000 };
     // A target may lag this far behind the mean and still catch up.
     constexpr auto maxLag = 2 * turnCost;
-    // Above this many targets a sample is compared instead of all, so that the cost stays flat.
-    constexpr auto sampleSize = size_t { 32 };
+    // A suspect that is this far ahead of the mean waits, even if only its slots are free: fast failures keep them free.
+    constexpr auto maxSuspectLead = 4 * turnCost;
+    // So many turns ahead of the mean weigh as much as a full slot share.
+    constexpr auto turnsPerShare = uint64_t { 8 };
+    // So many targets are compared at a time, so that the cost stays flat.
+    constexpr auto windowSize = size_t { 32 };
     // Lost races for a slot before the request is told to wait.
     constexpr auto maxRaces = 8;
-    constexpr auto regionCount = 2;
+    // Slots of other members that one node uses at one target at once.
+    constexpr auto borrowLimit = uint32_t { 1 };
 
+    // Which targets and which slots one pass over a service looks at.
+    struct choice_pass {
+        bool otherRegion { false };
+        bool borrowing { false };
+
+        auto limitOf(const target_view& view) const -> uint32_t { return view.slotShare + (borrowing ? borrowLimit : 0); }
+    };
+
+    constexpr auto passes = std::to_array<choice_pass>({ { false, false }, { false, true }, { true, false }, { true, true } });
+
+    // One target as it stood when it was looked at.
     struct candidate {
         const target_view* view { nullptr };
-        // Work in flight in thousandths of a slot share at full weight.
-        uint64_t load { 0 };
+        uint32_t inFlight { 0 };
         uint64_t turns { 0 };
-
-        auto precedes(const candidate& other) const -> bool
-        {
-            if (load != other.load)
-                return load < other.load;
-            return turns < other.turns;
-        }
     };
 
-    struct scan_result {
-        candidate best;
-        // Sums over all allowed targets, those without a free slot included.
-        uint64_t weightedTurns { 0 };
-        uint64_t weights { 0 };
+    // The targets that one comparison looks at.
+    struct choice_window {
+        std::array<candidate, windowSize> candidates;
+        size_t count { 0 };
+        uint64_t meanTurns { 0 };
     };
 
     auto isOtherRegion(const target_view& view) -> bool
@@ -47,7 +54,7 @@
 
     auto isAllowed(const target_view& view, const target_query& query) -> bool
     {
-        if (view.weight == 0 || view.slotShare == 0)
+        if (view.weight == 0)
             return false;
         if (view.state == health_state::Ejected || view.state == health_state::Leaving)
             return false;
@@ -56,40 +63,64 @@
         return std::ranges::find(query.excluded, view.key) == query.excluded.end();
     }
 
-    auto weigh(const target_view& view, uint32_t inFlight) -> candidate
+    // Looks at up to `windowSize` targets of the pass's region, beginning `offset` behind a random place.
+    auto look(const service_view& service, const target_query& query, const choice_pass& pass, size_t offset) -> choice_window
     {
-        auto load = inFlight * turnCost * fullWeight / (uint64_t { view.slotShare } * view.weight);
-        return { &view, load, view.load->started.load(std::memory_order_relaxed) };
+        auto window = choice_window {};
+        auto size = service.targets.size();
+        auto end = std::min(offset + windowSize, size);
+        auto weightedTurns = uint64_t { 0 };
+        auto weights = uint64_t { 0 };
+        for (auto step = offset; step < end; ++step) {
+            auto& view = service.targets[(query.random % size + step) % size];
+            if (isOtherRegion(view) != pass.otherRegion || !isAllowed(view, query) || pass.limitOf(view) == 0)
+                continue;
+            auto inFlight = view.load->inFlight.load(std::memory_order_relaxed);
+            auto turns = view.load->started.load(std::memory_order_relaxed);
+            window.candidates[window.count++] = { &view, inFlight, turns };
+            // Targets that are only borrowed from get few turns and must not pull the mean down.
+            auto weight = view.slotShare > 0 ? view.weight : uint16_t { 0 };
+            weightedTurns += turns * weight;
+            weights += weight;
+        }
+        if (weights > 0)
+            window.meanTurns = weightedTurns / weights;
+        return window;
     }
 
-    // Compares up to `count` targets of one region, beginning at a random place.
-    auto scan(const service_view& service, const target_query& query, bool otherRegion, size_t first, size_t count) -> scan_result
+    // Work in flight for the target's share and weight, plus its lead in turns; 1000 stands for a full share.
+    auto scoreOf(const candidate& current, uint64_t lead) -> uint64_t
     {
-        auto result = scan_result {};
-        auto size = service.targets.size();
-        for (auto step = size_t { 0 }; step < count; ++step) {
-            auto index = first + step < size ? first + step : first + step - size;
-            auto& view = service.targets[index];
-            if (isOtherRegion(view) != otherRegion || !isAllowed(view, query))
+        auto share = std::max<uint64_t>(current.view->slotShare, 1);
+        auto load = current.inFlight * 1000 * fullWeight / (share * current.view->weight);
+        return load + lead * 1000 / (turnCost * turnsPerShare);
+    }
+
+    auto pickBest(const choice_window& window, const choice_pass& pass) -> const candidate*
+    {
+        auto* best = static_cast<const candidate*>(nullptr);
+        auto bestScore = uint64_t { 0 };
+        for (auto& current : std::span(window.candidates).first(window.count)) {
+            if (current.inFlight >= pass.limitOf(*current.view))
                 continue;
-            auto inFlight = view.load->inFlight.load(std::memory_order_relaxed);
-            auto current = weigh(view, inFlight);
-            result.weightedTurns += current.turns * view.weight;
-            result.weights += view.weight;
-            if (inFlight >= view.slotShare)
+            auto lead = current.turns > window.meanTurns ? current.turns - window.meanTurns : 0;
+            if (current.view->state != health_state::Healthy && lead > maxSuspectLead)
                 continue;
-            if (!result.best.view || current.precedes(result.best))
-                result.best = current;
+            auto score = scoreOf(current, lead);
+            if (best && (score > bestScore || (score == bestScore && current.turns >= best->turns)))
+                continue;
+            best = &current;
+            bestScore = score;
         }
-        return result;
+        return best;
     }
 
     // Takes a slot unless another thread took the last one.
-    auto takeSlot(const target_view& view) -> bool
+    auto takeSlot(const target_view& view, uint32_t limit) -> bool
     {
         auto& inFlight = view.load->inFlight;
         auto current = inFlight.load(std::memory_order_relaxed);
-        while (current < view.slotShare) {
+        while (current < limit) {
             if (inFlight.compare_exchange_weak(current, current + 1, std::memory_order_acquire, std::memory_order_relaxed))
                 return true;
         }
@@ -97,43 +128,40 @@
     }
 
     // A target that was away joins near the mean, so that it is not sent all the work until it has caught up.
-    auto countTurn(const scan_result& result) -> void
+    auto countTurn(const candidate& chosen, uint64_t meanTurns) -> void
     {
-        auto mean = result.weightedTurns / result.weights;
-        auto joinAt = mean > maxLag ? mean - maxLag : 0;
-        auto next = std::max(result.best.turns, joinAt) + turnCost * fullWeight / result.best.view->weight;
-        result.best.view->load->started.store(next, std::memory_order_relaxed);
+        auto joinAt = meanTurns > maxLag ? meanTurns - maxLag : 0;
+        auto next = std::max(chosen.turns, joinAt) + turnCost * fullWeight / chosen.view->weight;
+        chosen.view->load->started.store(next, std::memory_order_relaxed);
     }
 
-    auto scanSampleThenAll(const service_view& service, const target_query& query, bool otherRegion, size_t first) -> scan_result
+    auto chooseInWindow(const service_view& service, const target_query& query, const choice_pass& pass, size_t offset)
+        -> std::optional<chosen_target>
     {
-        auto size = service.targets.size();
-        if (size > sampleSize) {
-            auto sampled = scan(service, query, otherRegion, first, sampleSize);
-            if (sampled.best.view)
-                return sampled;
+        for (auto race = 0; race < maxRaces; ++race) {
+            auto window = look(service, query, pass, offset);
+            auto* best = pickBest(window, pass);
+            if (!best)
+                return std::nullopt;
+            auto& view = *best->view;
+            if (!takeSlot(view, pass.limitOf(view)))
+                continue;
+            countTurn(*best, window.meanTurns);
+            return chosen_target { view.key, view.address, view.state == health_state::Trial, pass.borrowing, slot_lease(view.load) };
         }
-        return scan(service, query, otherRegion, first, size);
+        return std::nullopt;
     }
 
 } // namespace
 
 auto chooseTarget(const service_view& service, const target_query& query) -> std::optional<chosen_target>
 {
-    auto size = service.targets.size();
-    if (size == 0)
-        return std::nullopt;
-    auto first = static_cast<size_t>(query.random % size);
-    for (auto region = 0; region < regionCount; ++region) {
-        for (auto race = 0; race < maxRaces; ++race) {
-            auto result = scanSampleThenAll(service, query, region == 1, first);
-            if (!result.best.view)
-                break;
-            if (!takeSlot(*result.best.view))
-                continue;
-            countTurn(result);
-            auto& view = *result.best.view;
-            return chosen_target { view.key, view.address, view.state == health_state::Trial, slot_lease(view.load) };
+    for (auto& pass : passes) {
+        if (pass.borrowing && !query.mayBorrow)
+            continue;
+        for (auto offset = size_t { 0 }; offset < service.targets.size(); offset += windowSize) {
+            if (auto chosen = chooseInWindow(service, query, pass, offset))
+                return chosen;
         }
     }
     return std::nullopt;
--- a/gypsumhub/decision/request/target_chooser.h
+++ b/gypsumhub/decision/request/target_chooser.h
@@ -17,6 +17,8 @@
     bool idempotent { false };
     /// A fresh random number; spreads the choices of nodes and threads that see equal loads.
     uint64_t random { 0 };
+    /// Whether a slot beyond this node's own share may be taken, see `borrow_gate`.
+    bool mayBorrow { false };
 };
 
 /// A target and the slot held there.
@@ -25,12 +27,16 @@
     endpoint address;
     /// The target is on trial.
     bool trial { false };
+    /// The slot belongs to another member; the target may shed the request.
+    bool borrowed { false };
     slot_lease lease;
 };
 
 /// Chooses the target for one attempt and takes a slot there, or returns nothing when no target that the query allows has
-/// a free slot. Among targets of the own region: least work in flight for its weight, then fewest turns, then a random start;
-/// targets of the other region only when the own region has no free slot. Any number of threads may call this at once.
+/// a free slot. Among targets of the own region: least work in flight for its weight together with its lead in turns, so that a
+/// target that fails fast draws no more than its turns; a suspect that is far ahead waits;
+/// a borrowed slot only when no own slot is free there; targets of the other region only when the own region has neither. Any
+/// number of threads may call this at once.
 auto chooseTarget(const service_view&, const target_query&) -> std::optional<chosen_target>;
 
 /// Requests that this node may still start at once: free slots over all targets that can take work.
--- a/unit_tests/decision/request/target_chooser_test.cpp
+++ b/unit_tests/decision/request/target_chooser_test.cpp
@@ -1,3 +1,4 @@
+#include "gypsumhub/decision/request/borrow_gate.h"
 #include "gypsumhub/decision/request/target_chooser.h"
 
 #include "gypsumhub/core/random_generator.h"
@@ -91,4 +92,57 @@
     CHECK((chosen->key == vm_key { 1778 }));
 }
 
+TEST_CASE("a slot beyond the own share is borrowed only when the query allows it and no own slot is free")
+{
+    auto service = makeService(2, 1);
+    service.targets[1].slotShare = 0;
+    auto own = chooseTarget(service, { .mayBorrow = true });
+    REQUIRE(own.has_value());
+    CHECK_FALSE(own->borrowed);
+    CHECK_FALSE(chooseTarget(service, {}).has_value());
+    auto first = chooseTarget(service, { .mayBorrow = true });
+    auto second = chooseTarget(service, { .mayBorrow = true });
+    REQUIRE(first.has_value());
+    REQUIRE(second.has_value());
+    CHECK(first->borrowed);
+    CHECK((first->key != second->key));
+    CHECK_FALSE(chooseTarget(service, { .mayBorrow = true }).has_value());
+}
+
+TEST_CASE("the gate closes on a shed for a time that doubles, and opens again")
+{
+    auto gate = borrow_gate {};
+    auto now = time_point {} + minutes(1);
+    CHECK(gate.isOpen(now));
+    gate.noteShed(now);
+    CHECK_FALSE(gate.isOpen(now + milliseconds(99)));
+    CHECK(gate.isOpen(now + milliseconds(100)));
+    gate.noteShed(now + milliseconds(100));
+    CHECK_FALSE(gate.isOpen(now + milliseconds(299)));
+    CHECK(gate.isOpen(now + milliseconds(300)));
+    // After a long time without a shed it starts anew.
+    gate.noteShed(now + minutes(1));
+    CHECK(gate.isOpen(now + minutes(1) + milliseconds(100)));
+}
+
+TEST_CASE("a suspect whose failures keep its slots free draws no more than its turns")
+{
+    auto service = makeService(4, 1);
+    service.targets[0].state = health_state::Demoted;
+    service.targets[0].weight = 500;
+    auto busy = std::vector<chosen_target> {};
+    auto toSuspect = 0;
+    for (auto request = 0; request < 100; ++request) {
+        auto chosen = chooseTarget(service, { .idempotent = true });
+        if (!chosen)
+            continue;
+        if (chosen->key == vm_key { 1 })
+            ++toSuspect;
+        else
+            busy.push_back(std::move(*chosen));
+    }
+    CHECK(busy.size() == 3);
+    CHECK(toSuspect <= 4);
+}
+
 } // namespace gypsumhub
