--- a/fakes/schedule_run.cpp
+++ b/fakes/schedule_run.cpp
@@ -1,7 +1,5 @@
 #include "fakes/schedule_run.h"
 
-#include "fakes/naive_fleet.h"
-#include "fakes/schedule_core_router.h"
 #include "fakes/schedule_state.h"
 #include "fakes/target_model.h"
 #include "gypsumhub/decision/event.h"
@@ -133,10 +131,9 @@
         auto scheduleFault(size_t index) -> void
         {
             auto& fault = m_plan.faults[index];
-            auto everywhere = fault.kind == fault_kind::WholeServiceSlow;
-            auto forEach = [this, &fault, everywhere](const auto& change) {
+            auto forEach = [this, &fault](const auto& change) {
                 for (auto target = size_t { 0 }; target < m_plan.targets; ++target) {
-                    if (everywhere || target == fault.target)
+                    if (fault.kind == fault_kind::WholeServiceSlow || target == fault.target)
                         change(m_faultsNow[target]);
                 }
             };
@@ -389,16 +386,4 @@
     return schedule_runner(plan, router, policy).run();
 }
 
-auto runProduct(const schedule& plan) -> schedule_figures
-{
-    auto router = schedule_core_router(plan);
-    return runSchedule(plan, router, request_policy::Product);
-}
-
-auto runNaive(const schedule& plan) -> schedule_figures
-{
-    auto router = naive_fleet(plan);
-    return runSchedule(plan, router, request_policy::Naive);
-}
-
 } // namespace gypsumhub
