--- a/gypsumhub/fleet/membership.h
+++ b/gypsumhub/fleet/membership.h
@@ -21,7 +21,7 @@
     /// `membership::alive` or `membership::isReady` gives another answer than before.
     virtual auto onMembershipChange() -> void = 0;
     /// The process was paused: what was known before may be old.
-    virtual auto onPause() -> void = 0;
+    virtual auto onPause() -> void { }
     /// The peer's process is another one than before: what the earlier one said no longer counts.
     virtual auto onPeerReplaced(node_key) -> void = 0;
 };
--- a/gypsumhub/fleet/peer.capnp
+++ b/gypsumhub/fleet/peer.capnp
@@ -77,7 +77,12 @@
 
 struct PeerMessage {
   union {
-    evidence @0 :List(Evidence);
+    evidence :group {
+      items @0 :List(Evidence);
+      # 0 when the sender found it itself.
+      origin @34 :UInt64;
+      forwardTo @35 :List(UInt64);
+    }
     claim :group {
       requestId @1 :UInt64;
       query @2 :ClaimQuery;
--- a/gypsumhub/fleet/peer.capnp.h
+++ b/gypsumhub/fleet/peer.capnp.h
@@ -34,6 +34,7 @@
 CAPNP_DECLARE_SCHEMA(927b49833c315ba4);
 CAPNP_DECLARE_SCHEMA(ce0876c99f47c44c);
 CAPNP_DECLARE_SCHEMA(db7c6363d614316a);
+CAPNP_DECLARE_SCHEMA(da391edc96ea48e1);
 CAPNP_DECLARE_SCHEMA(f5feb09161622b5b);
 CAPNP_DECLARE_SCHEMA(d3a6beb12826b596);
 CAPNP_DECLARE_SCHEMA(baa3c405b8fcac1f);
@@ -287,6 +288,7 @@
     PING_ACK,
     MEMBERSHIP,
   };
+  struct Evidence;
   struct Claim;
   struct ClaimVerdict;
   struct ClaimRecord;
@@ -305,6 +307,21 @@
   };
 };
 
+struct PeerMessage::Evidence {
+  Evidence() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(da391edc96ea48e1, 4, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerMessage::Claim {
   Claim() = delete;
 
@@ -1688,8 +1705,7 @@
 
   inline Which which() const;
   inline bool isEvidence() const;
-  inline bool hasEvidence() const;
-  inline  ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>::Reader getEvidence() const;
+  inline typename Evidence::Reader getEvidence() const;
 
   inline bool isClaim() const;
   inline typename Claim::Reader getClaim() const;
@@ -1752,12 +1768,8 @@
 
   inline Which which();
   inline bool isEvidence();
-  inline bool hasEvidence();
-  inline  ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>::Builder getEvidence();
-  inline void setEvidence( ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>::Builder initEvidence(unsigned int size);
-  inline void adoptEvidence(::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>> disownEvidence();
+  inline typename Evidence::Builder getEvidence();
+  inline typename Evidence::Builder initEvidence();
 
   inline bool isClaim();
   inline typename Claim::Builder getClaim();
@@ -1829,6 +1841,103 @@
 };
 #endif  // !CAPNP_LITE
 
+class PeerMessage::Evidence::Reader {
+public:
+  typedef Evidence Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasItems() const;
+  inline  ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>::Reader getItems() const;
+
+  inline  ::uint64_t getOrigin() const;
+
+  inline bool hasForwardTo() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getForwardTo() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerMessage::Evidence::Builder {
+public:
+  typedef Evidence Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasItems();
+  inline  ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>::Builder getItems();
+  inline void setItems( ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
+  inline void adoptItems(::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>> disownItems();
+
+  inline  ::uint64_t getOrigin();
+  inline void setOrigin( ::uint64_t value);
+
+  inline bool hasForwardTo();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getForwardTo();
+  inline void setForwardTo( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setForwardTo(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initForwardTo(unsigned int size);
+  inline void adoptForwardTo(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownForwardTo();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerMessage::Evidence::Pipeline {
+public:
+  typedef Evidence Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerMessage::Claim::Reader {
 public:
   typedef Claim Reads;
@@ -3584,54 +3693,24 @@
 inline bool PeerMessage::Builder::isEvidence() {
   return which() == PeerMessage::EVIDENCE;
 }
-inline bool PeerMessage::Reader::hasEvidence() const {
-  if (which() != PeerMessage::EVIDENCE) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerMessage::Builder::hasEvidence() {
-  if (which() != PeerMessage::EVIDENCE) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>::Reader PeerMessage::Reader::getEvidence() const {
+inline typename PeerMessage::Evidence::Reader PeerMessage::Reader::getEvidence() const {
   KJ_IREQUIRE((which() == PeerMessage::EVIDENCE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+  return typename PeerMessage::Evidence::Reader(_reader);
 }
-inline  ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Builder::getEvidence() {
+inline typename PeerMessage::Evidence::Builder PeerMessage::Builder::getEvidence() {
   KJ_IREQUIRE((which() == PeerMessage::EVIDENCE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void PeerMessage::Builder::setEvidence( ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>::Reader value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::EVIDENCE);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+  return typename PeerMessage::Evidence::Builder(_builder);
 }
-inline  ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Builder::initEvidence(unsigned int size) {
+inline typename PeerMessage::Evidence::Builder PeerMessage::Builder::initEvidence() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::EVIDENCE);
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void PeerMessage::Builder::adoptEvidence(
-    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>>&& value) {
-  _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::EVIDENCE);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>> PeerMessage::Builder::disownEvidence() {
-  KJ_IREQUIRE((which() == PeerMessage::EVIDENCE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename PeerMessage::Evidence::Builder(_builder);
 }
-
 inline bool PeerMessage::Reader::isClaim() const {
   return which() == PeerMessage::CLAIM;
 }
@@ -3907,6 +3986,92 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Evidence::Reader::hasItems() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Evidence::Builder::hasItems() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>::Reader PeerMessage::Evidence::Reader::getItems() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Evidence::Builder::getItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Evidence::Builder::setItems( ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Evidence::Builder::initItems(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::Evidence::Builder::adoptItems(
+    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>> PeerMessage::Evidence::Builder::disownItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::Evidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PeerMessage::Evidence::Reader::getOrigin() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerMessage::Evidence::Builder::getOrigin() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Evidence::Builder::setOrigin( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerMessage::Evidence::Reader::hasForwardTo() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Evidence::Builder::hasForwardTo() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerMessage::Evidence::Reader::getForwardTo() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerMessage::Evidence::Builder::getForwardTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Evidence::Builder::setForwardTo( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void PeerMessage::Evidence::Builder::setForwardTo(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerMessage::Evidence::Builder::initForwardTo(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::Evidence::Builder::adoptForwardTo(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerMessage::Evidence::Builder::disownForwardTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t PeerMessage::Claim::Reader::getRequestId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
--- a/gypsumhub/fleet/peer_codec.cpp
+++ b/gypsumhub/fleet/peer_codec.cpp
@@ -105,7 +105,14 @@
 
         auto operator()(const evidence_message& message) -> void
         {
-            auto list = out.initEvidence(static_cast<capnp::uint>(message.items.size()));
+            auto group = out.initEvidence();
+            group.setOrigin(message.origin ? message.origin->value : 0);
+            if (!message.forwardTo.empty()) {
+                auto forwardTo = group.initForwardTo(static_cast<capnp::uint>(message.forwardTo.size()));
+                for (auto index = capnp::uint { 0 }; index < forwardTo.size(); ++index)
+                    forwardTo.set(index, message.forwardTo[index].value);
+            }
+            auto list = group.initItems(static_cast<capnp::uint>(message.items.size()));
             for (auto index = capnp::uint { 0 }; index < list.size(); ++index) {
                 auto& item = message.items[index];
                 list[index].setService(item.service.value);
@@ -210,10 +217,14 @@
         }
     };
 
-    auto readEvidence(capnp::List<wire::Evidence>::Reader list) -> leaf::result<peer_message>
+    auto readEvidence(wire::PeerMessage::Evidence::Reader in) -> leaf::result<peer_message>
     {
         auto message = evidence_message {};
-        for (auto item : list) {
+        if (in.getOrigin() != 0)
+            message.origin = node_key { in.getOrigin() };
+        for (auto receiver : in.getForwardTo())
+            message.forwardTo.push_back({ receiver });
+        for (auto item : in.getItems()) {
             BOOST_LEAF_AUTO(state, readEnum(item.getState(), health_state::Leaving));
             message.items.push_back({ { item.getService() }, { item.getTarget() }, state, item.getErrorScore(), item.getSlowScore(),
                 item.getSamples(), item.getFailuresInRow(), { item.getValidUntil() } });
--- a/gypsumhub/fleet/peer_message.h
+++ b/gypsumhub/fleet/peer_message.h
@@ -15,6 +15,10 @@
 /// Evidence about targets, to members of the same serving group.
 struct evidence_message {
     std::vector<evidence> items;
+    /// Who found it, when the sender only passes it on.
+    std::optional<node_key> origin {};
+    /// To whom the receiver shall pass it on within its data centre.
+    std::vector<node_key> forwardTo {};
 };
 
 /// Says which configuration the sender has, and what it knows of the membership.
