--- /dev/null
+++ b/gypsumhub/operator/replay/outcome_check.cpp
@@ -0,0 +1,144 @@
+#include "gypsumhub/operator/replay/outcome_check.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <string_view>
+
+namespace gypsumhub {
+
+namespace {
+
+    auto secondsText(time_point at) -> std::string
+    {
+        auto text = std::to_string(static_cast<double>(at.ns) * 1e-9);
+        return text.substr(0, text.find('.') + 3) + " s";
+    }
+
+    // The state of a target on a node at an instant.
+    auto stateAt(const replay_log& log, node_key node, vm_key target, time_point at) -> health_state
+    {
+        auto state = health_state::Healthy;
+        for (auto& change : log.changes) {
+            if (change.at > at)
+                break;
+            if (change.node == node && change.target == target)
+                state = change.to;
+        }
+        return state;
+    }
+
+    auto isOut(health_state state) -> bool
+    {
+        return state == health_state::Ejected || state == health_state::Leaving;
+    }
+
+    // The first instant at which a target reached a state on a node, not before `from`.
+    auto firstReached(const replay_log& log, node_key node, const stated_outcome& outcome, health_state wanted) -> std::optional<time_point>
+    {
+        if (stateAt(log, node, outcome.target, outcome.from) == wanted)
+            return outcome.from;
+        for (auto& change : log.changes) {
+            if (change.node == node && change.target == outcome.target && change.to == wanted && change.at >= outcome.from)
+                return change.at;
+        }
+        return std::nullopt;
+    }
+
+    // Whether every driven node that gives work reached the state in time.
+    auto checkReached(const stated_outcome& outcome, const replay_trace& trace, const replay_log& log, health_state wanted) -> outcome_verdict
+    {
+        auto latest = outcome.from;
+        for (auto& node : trace.driven) {
+            auto reached = firstReached(log, node.key, outcome, wanted);
+            if (!reached)
+                return { false, "never " + std::string(toString(wanted)) + " on " + node.name };
+            latest = std::max(latest, *reached);
+        }
+        return { latest <= outcome.at, std::string(toString(wanted)) + " on every node at " + secondsText(latest) };
+    }
+
+    auto checkNeverEjected(const stated_outcome& outcome, const replay_log& log) -> outcome_verdict
+    {
+        for (auto& change : log.changes) {
+            auto concerned = outcome.target == vm_key {} ? change.service == outcome.service : change.target == outcome.target;
+            if (concerned && change.to == health_state::Ejected && change.at >= outcome.from && change.at <= outcome.at)
+                return { false, "ejected at " + secondsText(change.at) + ": " + change.reason };
+        }
+        return { true, "never ejected" };
+    }
+
+    auto checkRotation(const stated_outcome& outcome, const replay_trace& trace, const replay_log& log, bool wantedOut) -> outcome_verdict
+    {
+        for (auto& node : trace.driven) {
+            auto state = stateAt(log, node.key, outcome.target, outcome.at);
+            if (isOut(state) != wantedOut)
+                return { false, std::string(toString(state)) + " on " + node.name };
+        }
+        return { true, wantedOut ? "out of rotation on every node" : "in rotation on every node" };
+    }
+
+    auto checkLeastInRotation(const stated_outcome& outcome, const replay_log& log) -> outcome_verdict
+    {
+        auto least = std::optional<replayed_rotation> {};
+        for (auto& rotation : log.rotations) {
+            if (rotation.service == outcome.service && rotation.at >= outcome.from && (!least || rotation.count < least->count))
+                least = rotation;
+        }
+        if (!least)
+            return { false, "no snapshot" };
+        return { static_cast<double>(least->count) >= outcome.limit, "at least " + std::to_string(least->count) + ", at " + secondsText(least->at) };
+    }
+
+    auto checkWorkShare(const stated_outcome& outcome, const replay_log& log) -> outcome_verdict
+    {
+        auto all = size_t { 0 };
+        auto own = size_t { 0 };
+        for (auto& work : log.work) {
+            if (work.service != outcome.service || work.at < outcome.from || work.at >= outcome.at)
+                continue;
+            ++all;
+            own += work.target == outcome.target ? 1 : 0;
+        }
+        auto share = all == 0 ? 0.0 : static_cast<double>(own) / static_cast<double>(all);
+        return { all > 0 && share <= outcome.limit, "share " + std::to_string(share) + " of " + std::to_string(all) };
+    }
+
+} // namespace
+
+auto checkOutcome(const stated_outcome& outcome, const replay_trace& trace, const replay_log& log) -> outcome_verdict
+{
+    switch (outcome.kind) {
+    case outcome_kind::EjectedBy:
+        return checkReached(outcome, trace, log, health_state::Ejected);
+    case outcome_kind::LeavingBy:
+        return checkReached(outcome, trace, log, health_state::Leaving);
+    case outcome_kind::DemotedBy:
+        return checkReached(outcome, trace, log, health_state::Demoted);
+    case outcome_kind::NeverEjected:
+        return checkNeverEjected(outcome, log);
+    case outcome_kind::InRotationAt:
+        return checkRotation(outcome, trace, log, false);
+    case outcome_kind::OutOfRotationAt:
+        return checkRotation(outcome, trace, log, true);
+    case outcome_kind::AtLeastInRotation:
+        return checkLeastInRotation(outcome, log);
+    case outcome_kind::WorkShareAtMost:
+        return checkWorkShare(outcome, log);
+    case outcome_kind::ProbesAtMost:
+        return { static_cast<double>(log.probes) <= outcome.limit, std::to_string(log.probes) + " probes" };
+    }
+    return { false, "unknown outcome" };
+}
+
+auto describe(const stated_outcome& outcome) -> std::string
+{
+    constexpr auto names = std::to_array<std::string_view>({ "ejected-by", "leaving-by", "demoted-by", "never-ejected", "in-rotation-at",
+        "out-of-rotation-at", "at-least-in-rotation", "work-share-at-most", "probes-at-most" });
+    auto text = std::string(names[static_cast<size_t>(outcome.kind)]) + " " + outcome.name + " at " + secondsText(outcome.at);
+    if (outcome.limit > 0)
+        text += ", limit " + std::to_string(outcome.limit);
+    return text;
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/operator/replay/replay.cpp
@@ -0,0 +1,39 @@
+#include "gypsumhub/operator/replay/replay.h"
+
+#include "gypsumhub/operator/replay/outcome_check.h"
+#include "gypsumhub/operator/replay/replay_run.h"
+#include "gypsumhub/operator/replay/trace_reader.h"
+
+#include <algorithm>
+
+namespace gypsumhub {
+
+namespace {
+
+    auto printFigures(const replay_log& log, std::ostream& output) -> void
+    {
+        auto ejections = std::ranges::count(log.changes, health_state::Ejected, &replayed_change::to);
+        output << "work_requests " << log.work.size() << "\nrefused_requests " << log.refused << "\nstate_changes " << log.changes.size()
+               << "\nejections " << ejections << "\nprobes " << log.probes << "\nevidence_items " << log.evidenceItems << '\n';
+    }
+
+} // namespace
+
+auto runReplay(std::string_view path, std::ostream& output) -> leaf::result<void>
+{
+    BOOST_LEAF_AUTO(trace, readTrace(path));
+    auto log = playTrace(trace);
+    auto missed = fault_list {};
+    for (auto& outcome : trace.outcomes) {
+        auto verdict = checkOutcome(outcome, trace, log);
+        output << (verdict.reached ? "reached " : "MISSED  ") << describe(outcome) << ": " << verdict.seen << '\n';
+        if (!verdict.reached)
+            missed.faults.push_back({ result_code::TraceOutcomeMissed, describe(outcome) + ": " + verdict.seen, std::string(path), outcome.line });
+    }
+    printFigures(log, output);
+    if (!missed.faults.empty())
+        return leaf::new_error(std::move(missed));
+    return {};
+}
+
+} // namespace gypsumhub
