--- a/gypsumhub/decision/request/target_chooser.cpp
+++ b/gypsumhub/decision/request/target_chooser.cpp
@@ -33,11 +33,11 @@
 
     constexpr auto passes = std::to_array<choice_pass>({ { false, false }, { false, true }, { true, false }, { true, true } });
 
-    // One target as it stood when it was looked at.
+    // One target as it stood when it was looked at. Filled before it is read; clearing it would cost more than looking.
     struct candidate {
-        const target_view* view { nullptr };
-        uint32_t inFlight { 0 };
-        uint64_t turns { 0 };
+        const target_view* view;
+        uint32_t inFlight;
+        uint64_t turns;
     };
 
     // The targets that one comparison looks at.
@@ -66,13 +66,15 @@
     // Looks at up to `windowSize` targets of the pass's region, beginning `offset` behind a random place.
     auto look(const service_view& service, const target_query& query, const choice_pass& pass, size_t offset) -> choice_window
     {
-        auto window = choice_window {};
+        // Not cleared: only the first `count` entries are read.
+        choice_window window;
         auto size = service.targets.size();
         auto end = std::min(offset + windowSize, size);
         auto weightedTurns = uint64_t { 0 };
         auto weights = uint64_t { 0 };
-        for (auto step = offset; step < end; ++step) {
-            auto& view = service.targets[(query.random % size + step) % size];
+        auto index = (query.random % size + offset) % size;
+        for (auto step = offset; step < end; ++step, index = index + 1 == size ? 0 : index + 1) {
+            auto& view = service.targets[index];
             if (isOtherRegion(view) != pass.otherRegion || !isAllowed(view, query) || pass.limitOf(view) == 0)
                 continue;
             auto inFlight = view.load->inFlight.load(std::memory_order_relaxed);
@@ -88,18 +90,17 @@
         return window;
     }
 
-    // Work in flight for the target's share and weight, plus its lead in turns; 1000 stands for a full share.
-    auto scoreOf(const candidate& current, uint64_t lead) -> uint64_t
+    // Work in flight for the target's share and weight, plus its lead in turns; 1 stands for a full share.
+    auto scoreOf(const candidate& current, uint64_t lead) -> float
     {
-        auto share = std::max<uint64_t>(current.view->slotShare, 1);
-        auto load = current.inFlight * 1000 * fullWeight / (share * current.view->weight);
-        return load + lead * 1000 / (turnCost * turnsPerShare);
+        auto share = static_cast<float>(std::max<uint32_t>(current.view->slotShare, 1) * current.view->weight) / fullWeight;
+        return static_cast<float>(current.inFlight) / share + static_cast<float>(lead) / (turnCost * turnsPerShare);
     }
 
     auto pickBest(const choice_window& window, const choice_pass& pass) -> const candidate*
     {
         auto* best = static_cast<const candidate*>(nullptr);
-        auto bestScore = uint64_t { 0 };
+        auto bestScore = 0.0F;
         for (auto& current : std::span(window.candidates).first(window.count)) {
             if (current.inFlight >= pass.limitOf(*current.view))
                 continue;
--- a/performance_test/measure_decisions.cpp
+++ b/performance_test/measure_decisions.cpp
@@ -2,12 +2,14 @@
 // Usage: measure_decisions [--schedules N] [--seed S] [--vm-days D] [--only GROUP]
 
 #include "fakes/schedule_run.h"
+#include "gypsumhub/decision/request/target_chooser.h"
 
 #include <algorithm>
 #include <array>
 #include <atomic>
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -32,7 +34,7 @@
         uint64_t schedules { 10'000 };
         uint64_t seed { 1 };
         double vmDays { 20 };
-        // "detection", "ejections", "promises" or "overload"; empty for all.
+        // "choice", "detection", "ejections", "promises" or "overload"; empty for all.
         std::string_view only;
 
         auto wants(std::string_view group) const -> bool { return only.empty() || only == group; }
@@ -275,6 +277,30 @@
         printPlain("naive_vanished_half_retry_amplification." + deployment.name, amplification(naive), "ratio");
     }
 
+    // Cost of one choice among `targets` with half of the slots taken, the slot given back included.
+    auto measureChoice(size_t targets, double limitNs) -> void
+    {
+        constexpr auto rounds = 200'000;
+        auto service = service_view {};
+        for (auto index = size_t { 0 }; index < targets; ++index) {
+            auto view = target_view { .key = { index + 1 }, .slotShare = 4, .load = std::make_shared<target_load>() };
+            view.load->inFlight = static_cast<uint32_t>(index % 5);
+            service.targets.push_back(std::move(view));
+        }
+        auto random = random_generator(1);
+        auto found = 0;
+        // Processor time, so that other work on the machine does not count.
+        auto startedAt = std::clock();
+        for (auto round = 0; round < rounds; ++round)
+            found += chooseTarget(service, { .idempotent = true, .random = random() }).has_value() ? 1 : 0;
+        auto nanoseconds = static_cast<double>(std::clock() - startedAt) / CLOCKS_PER_SEC * 1e9 / rounds;
+        auto name = "decision_ns." + std::to_string(targets);
+        if (found == rounds && limitNs > 0)
+            printAtMost(name, nanoseconds, "ns", limitNs);
+        else
+            printPlain(name, nanoseconds, "ns");
+    }
+
     auto parse(int argumentCount, char** arguments) -> options
     {
         auto chosen = options {};
@@ -319,6 +345,11 @@
 {
     using namespace gypsumhub;
     auto chosen = parse(argumentCount, arguments);
+    if (chosen.wants("choice")) {
+        measureChoice(25, 1000);
+        measureChoice(250, 0);
+        measureChoice(2'500, 0);
+    }
     measureDeployment(associationDeployment(), 0.5, chosen);
     measureDeployment(wroblewskiDeployment(), 0.05, chosen);
     return failures == 0 ? 0 : 1;
