--- /dev/null
+++ b/gypsumhub/main/control_thread.inl
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <chrono>
+#include <future>
+
+namespace gypsumhub {
+
+template <typename Result>
+auto control_thread::ask(std::function<Result()> work, duration limit) -> std::optional<Result>
+{
+    // The promise is shared, since the work may run after the asker has given up.
+    auto promise = std::make_shared<std::promise<Result>>();
+    auto future = promise->get_future();
+    post([promise, work = std::move(work)] { promise->set_value(work()); });
+    if (future.wait_for(std::chrono::nanoseconds(limit.ns)) != std::future_status::ready)
+        return std::nullopt;
+    return future.get();
+}
+
+} // namespace gypsumhub
