--- /dev/null
+++ b/gypsumhub/main/decision_driver.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "gypsumhub/core/rcu_cell.h"
+#include "gypsumhub/decision/decision_core.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+
+namespace gypsumhub {
+
+/// Where the decision core's commands go. All are called on the control thread.
+struct decision_effects {
+    std::function<void(const start_probe_command&)> startProbe;
+    std::function<void(const send_evidence_command&)> sendEvidence;
+    std::function<void(vm_key)> closeIdleConnections;
+    std::function<void(const state_change_command&)> stateChanged;
+};
+
+/// Drives a `decision_core` with the wall clock and carries out its commands. Lives on the control thread.
+class decision_driver final : private command_listener {
+public:
+    /// Snapshots are published to `cell`, which must outlive the driver.
+    decision_driver(const decision_settings&, rcu_cell<routing_snapshot>& cell, decision_effects);
+
+    /// Hands one event to the core at the current time.
+    auto handle(const decision_event&) -> void;
+
+    /// The core, for `explain` and status.
+    auto core() const -> const decision_core&;
+
+    /// State changes so far, by the state that was entered.
+    auto stateChanges() const -> const std::array<uint64_t, 5>&;
+
+private:
+    auto onCommand(decision_command) -> void override;
+    auto carryOut(const publish_snapshot_command&) -> void;
+    auto carryOut(const start_probe_command&) -> void;
+    auto carryOut(const send_evidence_command&) -> void;
+    auto carryOut(const close_idle_connections_command&) -> void;
+    auto carryOut(const state_change_command&) -> void;
+
+    decision_core m_core;
+    rcu_cell<routing_snapshot>& m_cell;
+    decision_effects m_effects;
+    std::array<uint64_t, 5> m_stateChanges {};
+};
+
+}
