--- /dev/null
+++ b/gypsumhub/main/claim_driver.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "gypsumhub/decision/request/claim_coordinator.h"
+#include "gypsumhub/fleet/peer_message.h"
+#include "gypsumhub/main/control_thread.h"
+#include "gypsumhub/proxy/claim_port.h"
+
+#include <functional>
+#include <unordered_map>
+
+namespace gypsumhub {
+
+/// Brings request threads and peers to the `claim_coordinator`, which lives on the control thread.
+class claim_driver final : public claim_port {
+public:
+    /// The thread and the sender must outlive the driver.
+    claim_driver(control_thread&, claim_coordinator::settings, peer_sender&);
+
+    auto claim(claim_query, std::function<void(claim_verdict)> done) -> void override;
+    auto finish(const claim_query&, claim_end, std::shared_ptr<const kept_answer>) -> void override;
+
+    /// A configuration is in force. Control thread only, like all that follow.
+    auto configure(const configuration&) -> void;
+    /// Another node sent a message about claims.
+    auto onMessage(node_key sender, const claim_peer_message&) -> void;
+    auto tick() -> void;
+    /// Gives the table to the other voters before a planned stop ends.
+    auto handOver() -> void;
+    auto coordinator() const -> const claim_coordinator&;
+
+private:
+    auto carryOut(claim_command_list) -> void;
+    auto carryOut(send_claim_command&) -> void;
+    auto carryOut(claim_decided_command&) -> void;
+
+    control_thread& m_control;
+    peer_sender& m_sender;
+    claim_coordinator m_coordinator;
+    std::unordered_map<uint64_t, std::function<void(claim_verdict)>> m_waiting;
+};
+
+}
--- /dev/null
+++ b/gypsumhub/main/commands.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "gypsumhub/operator/command_line.h"
+
+#include <span>
+
+namespace gypsumhub {
+
+/// Every command of the program, in the order of `gypsumhub --help`.
+auto commandTable() -> std::span<const command_row>;
+
+}
--- a/gypsumhub/main/main.cpp
+++ b/gypsumhub/main/main.cpp
@@ -1,4 +1,13 @@
-auto main() -> int
+#include "gypsumhub/main/commands.h"
+#include "gypsumhub/operator/command_line.h"
+
+#include <span>
+#include <string>
+#include <vector>
+
+auto main(int argc, char** argv) -> int
 {
-    return 0;
+    auto arguments = std::span(argv, static_cast<size_t>(argc));
+    auto words = std::vector<std::string>(arguments.begin() + 1, arguments.end());
+    return gypsumhub::runCommandLine(words, gypsumhub::commandTable());
 }
