--- /dev/null
+++ b/gypsumhub/main/node.cpp
@@ -0,0 +1,56 @@
+#include "gypsumhub/main/node.h"
+
+#include "gypsumhub/main/node_parts.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <glog/logging.h>
+
+namespace gypsumhub {
+
+namespace asio = boost::asio;
+
+struct node::implementation {
+    explicit implementation(node_settings given)
+        : settings(std::move(given))
+        , parts(settings)
+        , signals(parts.control.context(), SIGTERM, SIGINT)
+    {
+    }
+
+    // Every signal is taken for as long as the node runs, so that a second one cannot cut the stop short.
+    auto waitForSignal() -> void
+    {
+        signals.async_wait([this](const boost::system::error_code& error, int) {
+            if (error)
+                return;
+            parts.beginStop();
+            waitForSignal();
+        });
+    }
+
+    node_settings settings;
+    node_parts parts;
+    asio::signal_set signals;
+};
+
+node::node(node_settings settings)
+    : m_implementation(std::make_unique<implementation>(std::move(settings)))
+{
+}
+
+node::~node() = default;
+
+auto node::run() -> leaf::result<void>
+{
+    auto& self = *m_implementation;
+    std::signal(SIGPIPE, SIG_IGN);
+    self.waitForSignal();
+    BOOST_LEAF_CHECK(self.parts.start());
+    LOG(INFO) << R"({"event":"started","node":")" << self.settings.name << R"("})";
+    self.parts.join();
+    LOG(INFO) << R"({"event":"stopped","node":")" << self.settings.name << R"("})";
+    return {};
+}
+
+}
--- /dev/null
+++ b/gypsumhub/main/node_parts.cpp
@@ -0,0 +1,250 @@
+#include "gypsumhub/main/node_parts.h"
+
+#include "gypsumhub/core/clock.h"
+#include "gypsumhub/core/hash.h"
+#include "gypsumhub/main/node_report.h"
+
+#include <boost/json/serialize.hpp>
+#include <glog/logging.h>
+
+namespace gypsumhub {
+
+namespace {
+
+    constexpr auto askLimit = seconds(1);
+    constexpr auto drainInterval = milliseconds(10);
+
+    auto makeDecisionSettings(const node_settings& settings, time_point startedAt) -> decision_settings
+    {
+        auto result = decision_settings { { hashName(settings.name) }, settings.dataCentre };
+        result.seed = mixHashes(result.self.value, static_cast<uint64_t>(startedAt.ns));
+        return result;
+    }
+
+    auto makeClaimSettings(const node_settings& settings, time_point startedAt) -> claim_coordinator::settings
+    {
+        auto result = claim_coordinator::settings { { hashName(settings.name) } };
+        result.incarnation = static_cast<uint64_t>(startedAt.ns);
+        return result;
+    }
+
+    auto makeStoreSettings(const node_settings& settings) -> etcd_store::settings
+    {
+        auto result = etcd_store::settings { settings.storeAddresses };
+        result.seed = hashName(settings.name);
+        return result;
+    }
+
+    auto makeProxySettings(const node_settings& settings, time_point startedAt) -> proxy_server_settings
+    {
+        auto result = proxy_server_settings { { hashName(settings.name) }, settings.callerAddress };
+        result.requestThreads = settings.requestThreads;
+        result.maxConnections = settings.maxConnections;
+        result.maxHeaderBytes = settings.maxHeaderBytes;
+        result.maxBodyBytes = settings.maxBodyBytes;
+        result.bufferedAnswerBytes = settings.bufferedAnswerBytes;
+        result.requestReadLimit = settings.requestReadLimit;
+        result.answerLifetime = settings.answerLifetime;
+        result.spanLog = settings.spanLog;
+        result.seed = mixHashes(result.self.value, static_cast<uint64_t>(startedAt.ns));
+        return result;
+    }
+
+    auto makeTransportSettings(const node_settings& settings, time_point startedAt) -> peer_transport_settings
+    {
+        auto result = peer_transport_settings { { hashName(settings.name) } };
+        result.incarnation = static_cast<uint64_t>(startedAt.ns);
+        result.listenAddress = settings.peerAddress;
+        result.keys = settings.peerKeys;
+        result.seed = result.incarnation;
+        return result;
+    }
+
+    auto logEvent(std::string_view event, boost::json::object fields) -> void
+    {
+        fields["event"] = event;
+        LOG(INFO) << boost::json::serialize(fields);
+    }
+
+}
+
+node_parts::node_parts(const node_settings& settings)
+    : m_settings(settings)
+    , m_self { hashName(settings.name) }
+    , m_startedAt(wallClockNow())
+    , m_snapshot(std::make_shared<routing_snapshot>())
+    , m_store(makeStoreSettings(settings))
+    , m_decision(makeDecisionSettings(settings, m_startedAt), m_snapshot, makeEffects())
+    , m_claims(control, makeClaimSettings(settings, m_startedAt), *this)
+    , m_probes(control.context(), [this](const attempt_report& report) { m_decision.handle(attempt_event { report }); })
+    , m_proxy(makeProxySettings(settings, m_startedAt), m_snapshot, m_inbox, m_claims)
+    , m_admin({ settings.operatorAddress }, *this)
+{
+    wireTimers();
+}
+
+node_parts::~node_parts() = default;
+
+auto node_parts::makeEffects() -> decision_effects
+{
+    return {
+        .startProbe = [this](auto& command) { m_probes.start(command); },
+        .sendEvidence =
+            [this](auto& command) {
+                for (auto receiver : command.receivers)
+                    send(receiver, evidence_message { command.items });
+            },
+        .closeIdleConnections = [this](vm_key target) { m_proxy.closeIdleConnections(target); },
+        .stateChanged = [this](auto& command) { noteStateChange(command); },
+    };
+}
+
+auto node_parts::wireTimers() -> void
+{
+    control.repeat(drainInterval, [this] { drainAttempts(); });
+    control.repeat(tickInterval, [this] { m_decision.handle(tick_event {}); });
+    control.repeat(claim_coordinator::resendInterval, [this] { m_claims.tick(); });
+}
+
+auto node_parts::start() -> leaf::result<void>
+{
+    BOOST_LEAF_ASSIGN(m_transport, peer_transport::start(makeTransportSettings(m_settings, m_startedAt), *this, m_meter));
+    BOOST_LEAF_CHECK(m_admin.start());
+    BOOST_LEAF_CHECK(m_proxy.start());
+    if (m_settings.listAddress.port) {
+        auto listSettings = vm_list_poller_settings { m_settings.listAddress };
+        listSettings.seed = m_self.value;
+        m_listPoller.emplace(listSettings, [this](vm_list_event event) {
+            control.post([this, event = std::move(event)] { m_decision.handle(event); });
+        });
+    }
+    control.start();
+    return {};
+}
+
+auto node_parts::beginStop() -> void
+{
+    if (m_stopping.exchange(true))
+        return;
+    logEvent("stopping", {});
+    m_claims.handOver();
+    m_proxy.beginStop(wallClockNow() + m_settings.stopLimit);
+}
+
+auto node_parts::join() -> void
+{
+    m_proxy.join();
+}
+
+auto node_parts::drainAttempts() -> void
+{
+    m_inbox.drain([this](const attempt_report& report) { m_decision.handle(attempt_event { report }); });
+}
+
+auto node_parts::applyConfiguration(std::shared_ptr<const configuration> next) -> void
+{
+    auto fields = boost::json::object {};
+    fields["revision"] = next->revision.number;
+    fields["hash"] = toHex(next->revision.hash);
+    logEvent("configuration-in-force", std::move(fields));
+    m_claims.configure(*next);
+    m_decision.handle(configuration_event { std::move(next) });
+}
+
+auto node_parts::noteStateChange(const state_change_command& command) -> void
+{
+    auto fields = boost::json::object {};
+    auto snapshot = m_snapshot.load();
+    if (auto view = snapshot->findService(command.service)) {
+        fields["service"] = view->spec->name;
+        for (auto& target : view->spec->targets) {
+            if (target.key == command.target)
+                fields["vm"] = target.name;
+        }
+    }
+    fields["from"] = toString(command.from);
+    fields["to"] = toString(command.to);
+    fields["reason"] = command.reason;
+    logEvent("target-state", std::move(fields));
+}
+
+auto node_parts::onPeerMessage(node_key sender, peer_message message) -> void
+{
+    control.post([this, sender, message = std::move(message)] {
+        auto handle = [&](auto& concrete) {
+            using kind = std::decay_t<decltype(concrete)>;
+            if constexpr (std::is_same_v<kind, evidence_message>)
+                m_decision.handle(evidence_event { sender, concrete.items });
+            else if constexpr (std::is_constructible_v<claim_peer_message, kind>)
+                m_claims.onMessage(sender, concrete);
+        };
+        std::visit(handle, message);
+    });
+}
+
+auto node_parts::send(node_key receiver, peer_message message) -> void
+{
+    if (m_transport)
+        m_transport->send(receiver, std::move(message));
+}
+
+auto node_parts::isReady() -> bool
+{
+    return !m_stopping && m_snapshot.load()->config != nullptr;
+}
+
+auto node_parts::statusJson() -> std::string
+{
+    auto snapshot = m_snapshot.load();
+    auto status = boost::json::object {};
+    status["node"] = m_settings.name;
+    status["dataCentre"] = m_settings.dataCentre;
+    status["ready"] = isReady();
+    status["stopping"] = m_stopping.load();
+    status["revision"] = snapshot->config ? snapshot->config->revision.number : 0;
+    status["revisionHash"] = snapshot->config ? toHex(snapshot->config->revision.hash) : std::string {};
+    status["services"] = servicesJson(*snapshot);
+    return boost::json::serialize(status);
+}
+
+auto node_parts::explain(std::string_view serviceOrVm) -> std::string
+{
+    auto snapshot = m_snapshot.load();
+    auto name = std::string(serviceOrVm);
+    auto work = [this, snapshot, name]() -> std::string {
+        if (snapshot->findService({ hashName(name) }))
+            return m_decision.core().explain({ hashName(name) }, wallClockNow());
+        // A VM's line is the one that starts with its name.
+        for (auto& view : snapshot->services) {
+            auto isTarget = [&](auto& target) { return target.name == name; };
+            if (!std::ranges::any_of(view.spec->targets, isTarget))
+                continue;
+            auto text = m_decision.core().explain(view.spec->key, wallClockNow());
+            auto start = text.find(name);
+            return start == std::string::npos ? std::string {} : text.substr(start, text.find('\n', start) - start) + "\n";
+        }
+        return {};
+    };
+    return control.ask<std::string>(work, askLimit).value_or("the control thread is busy\n");
+}
+
+auto node_parts::metricsText() -> std::string
+{
+    auto snapshot = m_snapshot.load();
+    // Shared, since the work may run after this call has given up.
+    auto metrics = std::make_shared<metric_set>();
+    auto work = [this, snapshot, metrics]() -> bool {
+        addDecisionMetrics(*metrics, *snapshot, m_decision);
+        return true;
+    };
+    if (!control.ask<bool>(work, askLimit))
+        metrics = std::make_shared<metric_set>();
+    addProxyMetrics(*metrics, m_proxy.counters());
+    metrics->addGauge("ready", "1 when the node is ready.", isReady());
+    metrics->addCounter("attempt_reports_dropped_total", "Reports lost because the control thread fell behind.", static_cast<double>(m_inbox.dropped()));
+    metrics->addCounter("control_cpu_seconds_total", "Processor time of the control thread.", control.processorTime().seconds());
+    metrics->addCounter("control_bytes_total", "Bytes sent to peers.", static_cast<double>(m_meter.totalBytes()));
+    return metrics->toText();
+}
+
+}
