--- a/gypsumhub/main/node_parts.cpp
+++ b/gypsumhub/main/node_parts.cpp
@@ -50,6 +50,14 @@
         return result;
     }
 
+    auto makeMembershipSettings(const node_settings& settings, time_point startedAt) -> membership_settings
+    {
+        auto result = membership_settings { { hashName(settings.name) } };
+        result.incarnation = static_cast<uint64_t>(startedAt.ns);
+        result.seed = mixHashes(result.self.value, result.incarnation);
+        return result;
+    }
+
     auto makeTransportSettings(const node_settings& settings, time_point startedAt) -> peer_transport_settings
     {
         auto result = peer_transport_settings { { hashName(settings.name) } };
@@ -76,6 +84,7 @@
     , m_store(makeStoreSettings(settings))
     , m_decision(makeDecisionSettings(settings, m_startedAt), m_snapshot, makeEffects())
     , m_claims(control, makeClaimSettings(settings, m_startedAt), *this)
+    , m_membership(makeMembershipSettings(settings, m_startedAt), *this, makeMembershipEffects())
     , m_probes(control.context(), [this](const attempt_report& report) { m_decision.handle(attempt_event { report }); })
     , m_proxy(makeProxySettings(settings, m_startedAt), m_snapshot, m_inbox, m_claims)
     , m_admin({ settings.operatorAddress }, *this)
@@ -99,8 +108,17 @@
     };
 }
 
+auto node_parts::makeMembershipEffects() -> membership_effects
+{
+    return {
+        .aliveChanged = [this](std::vector<node_key> alive) { m_decision.handle(membership_event { std::move(alive) }); },
+        .peerReplaced = [this](node_key peer) { m_decision.handle(peer_lost_event { peer }); },
+    };
+}
+
 auto node_parts::wireTimers() -> void
 {
+    control.repeat(tickInterval, [this] { m_membership.tick(); });
     control.repeat(drainInterval, [this] { drainAttempts(); });
     control.repeat(tickInterval, [this] { m_decision.handle(tick_event {}); });
     control.repeat(claim_coordinator::resendInterval, [this] { m_claims.tick(); });
@@ -111,22 +129,32 @@
     BOOST_LEAF_ASSIGN(m_transport, peer_transport::start(makeTransportSettings(m_settings, m_startedAt), *this, m_meter));
     BOOST_LEAF_CHECK(m_admin.start());
     BOOST_LEAF_CHECK(m_proxy.start());
-    if (m_settings.listAddress.port) {
-        auto listSettings = vm_list_poller_settings { m_settings.listAddress };
-        listSettings.seed = m_self.value;
-        m_listPoller.emplace(listSettings, [this](vm_list_event event) {
-            control.post([this, event = std::move(event)] { m_decision.handle(event); });
-        });
-    }
+    startOutsideWorld();
     control.start();
     return {};
 }
 
+auto node_parts::startOutsideWorld() -> void
+{
+    m_transport->contactSeeds(m_settings.seedPeers);
+    m_follower.emplace(
+        m_store, [this](std::shared_ptr<const config_revision> next) { control.post([this, next] { applyRevision(next); }); },
+        [](const fault& entry) { LOG(WARNING) << toString(entry); });
+    if (!m_settings.listAddress.port)
+        return;
+    auto listSettings = vm_list_poller_settings { m_settings.listAddress };
+    listSettings.seed = m_self.value;
+    m_listPoller.emplace(listSettings, [this](vm_list_event event) {
+        control.post([this, event = std::move(event)] { m_decision.handle(event); });
+    });
+}
+
 auto node_parts::beginStop() -> void
 {
     if (m_stopping.exchange(true))
         return;
     logEvent("stopping", {});
+    m_membership.announceStop();
     m_claims.handOver();
     m_proxy.beginStop(wallClockNow() + m_settings.stopLimit);
 }
@@ -141,13 +169,30 @@
     m_inbox.drain([this](const attempt_report& report) { m_decision.handle(attempt_event { report }); });
 }
 
+auto node_parts::applyRevision(const std::shared_ptr<const config_revision>& revision) -> void
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(next, buildConfiguration(*revision));
+            applyConfiguration(std::move(next));
+            return {};
+        },
+        [](const fault_list& list) {
+            for (auto& entry : list.faults)
+                LOG(ERROR) << toString(entry);
+        },
+        [] { LOG(ERROR) << "the revision cannot be built"; });
+}
+
 auto node_parts::applyConfiguration(std::shared_ptr<const configuration> next) -> void
 {
     auto fields = boost::json::object {};
     fields["revision"] = next->revision.number;
     fields["hash"] = toHex(next->revision.hash);
     logEvent("configuration-in-force", std::move(fields));
+    m_transport->setPeers(peerAddresses(*next, m_self));
     m_claims.configure(*next);
+    m_membership.configure(*next);
     m_decision.handle(configuration_event { std::move(next) });
 }
 
@@ -177,6 +222,8 @@
                 m_decision.handle(evidence_event { sender, concrete.items });
             else if constexpr (std::is_constructible_v<claim_peer_message, kind>)
                 m_claims.onMessage(sender, concrete);
+            else if constexpr (requires { m_membership.onMessage(sender, concrete); })
+                m_membership.onMessage(sender, concrete);
         };
         std::visit(handle, message);
     });
@@ -190,7 +237,7 @@
 
 auto node_parts::isReady() -> bool
 {
-    return !m_stopping && m_snapshot.load()->config != nullptr;
+    return !m_stopping && m_membership.isReady() && m_snapshot.load()->config != nullptr;
 }
 
 auto node_parts::statusJson() -> std::string
--- a/gypsumhub/main/node_parts.h
+++ b/gypsumhub/main/node_parts.h
@@ -7,7 +7,9 @@
 #include "gypsumhub/main/claim_driver.h"
 #include "gypsumhub/main/control_thread.h"
 #include "gypsumhub/main/decision_driver.h"
+#include "gypsumhub/main/membership_driver.h"
 #include "gypsumhub/main/probe_runner.h"
+#include "gypsumhub/main/store_follower.h"
 #include "gypsumhub/main/vm_list_poller.h"
 #include "gypsumhub/operator/admin_server.h"
 #include "gypsumhub/platform/etcd_store.h"
@@ -36,8 +38,11 @@
 
 private:
     auto makeEffects() -> decision_effects;
+    auto makeMembershipEffects() -> membership_effects;
     auto wireTimers() -> void;
     auto drainAttempts() -> void;
+    auto startOutsideWorld() -> void;
+    auto applyRevision(const std::shared_ptr<const config_revision>&) -> void;
     auto applyConfiguration(std::shared_ptr<const configuration>) -> void;
     auto noteStateChange(const state_change_command&) -> void;
 
@@ -61,11 +66,13 @@
     etcd_store m_store;
     decision_driver m_decision;
     claim_driver m_claims;
+    membership_driver m_membership;
     probe_runner m_probes;
     proxy_server m_proxy;
     admin_server m_admin;
     std::unique_ptr<peer_transport> m_transport;
     std::optional<vm_list_poller> m_listPoller;
+    std::optional<store_follower> m_follower;
     std::atomic<bool> m_stopping { false };
 };
 
