--- /dev/null
+++ b/gypsumhub/proxy/caller_session.cpp
@@ -0,0 +1,390 @@
+#include "gypsumhub/proxy/caller_session.h"
+
+#include "gypsumhub/core/clock.h"
+#include "gypsumhub/proxy/message_fields.h"
+#include "gypsumhub/proxy/nodes_answer.h"
+#include "gypsumhub/proxy/peer_hop.h"
+#include "gypsumhub/proxy/request_dispatcher.h"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <cerrno>
+#include <sys/socket.h>
+
+namespace gypsumhub {
+
+namespace {
+
+    constexpr auto headReadBytes = size_t { 4 * 1024 };
+    constexpr auto bodyReadBytes = size_t { 64 * 1024 };
+    // What a refused caller may still send before its connection is closed, so that it can read the refusal.
+    constexpr auto maxDrainBytes = size_t { 64 * 1024 };
+    constexpr auto drainLimit = seconds(1);
+
+    auto viewOf(const beast::flat_buffer& buffer) -> std::span<const char>
+    {
+        auto data = buffer.cdata();
+        return { static_cast<const char*>(data.data()), data.size() };
+    }
+
+} // namespace
+
+caller_session::caller_session(tcp_socket socket, thread_resources& thread, session_registry& registry)
+    : m_socket(std::move(socket))
+    , m_thread(thread)
+    , m_context(thread.context)
+    , m_registry(registry)
+    , m_position(registry.add(*this))
+    , m_guard(m_socket.get_executor())
+{
+    auto ignored = error_code {};
+    m_socket.set_option(tcp::no_delay(true), ignored);
+}
+
+caller_session::~caller_session()
+{
+    m_registry.remove(m_position, m_phase != phase::Busy);
+    decrement(m_context.counters.connectionsOpen);
+}
+
+auto caller_session::run() -> task<>
+{
+    auto self = shared_from_this();
+    try {
+        co_await serve();
+    } catch (const std::exception&) {
+        // Out of memory or a broken invariant: this caller's connection fails visibly, the others go on.
+        m_context.counters.countResult(result_code::Internal);
+        closeVisibly();
+    }
+    disarmGuard();
+    close();
+}
+
+auto caller_session::refuse() -> task<>
+{
+    auto self = shared_from_this();
+    m_context.counters.countResult(result_code::TooManyConnections);
+    auto refusal = makeRefusal(result_code::TooManyConnections, {});
+    co_await writeAnswer(std::move(refusal), false);
+    co_await closeGently();
+}
+
+auto caller_session::serve() -> task<>
+{
+    auto goesOn = true;
+    while (goesOn) {
+        auto held = held_bytes(m_context);
+        auto received = co_await readRequest(held);
+        if (received.fault != result_code::Ok) {
+            m_context.counters.countResult(received.fault);
+            auto refusal = makeRefusal(received.fault, {});
+            co_await writeAnswer(std::move(refusal), false);
+            co_await closeGently();
+            break;
+        }
+        if (!received.message)
+            break;
+        setPhase(phase::Busy);
+        increment(m_context.counters.requestsInFlight);
+        goesOn = co_await handle(std::move(*received.message));
+        decrement(m_context.counters.requestsInFlight);
+        setPhase(phase::Idle);
+    }
+}
+
+auto caller_session::readRequest(held_bytes& held) -> task<read_end>
+{
+    auto& settings = m_context.settings;
+    auto reader = request_reader({ settings.maxHeaderBytes, settings.maxBodyBytes });
+    auto continueSent = false;
+    armGuard(settings.idleLimit);
+    while (true) {
+        if (m_buffer.size() > 0) {
+            if (m_phase == phase::Idle) {
+                setPhase(phase::Reading);
+                armGuard(settings.requestReadLimit);
+            }
+            m_buffer.consume(reader.feed(viewOf(m_buffer)));
+        }
+        auto end = read_end {};
+        switch (reader.state()) {
+        case request_reader::progress::Done:
+            end.message = reader.release();
+            co_return end;
+        case request_reader::progress::Failed:
+            end.fault = reader.fault();
+            co_return end;
+        case request_reader::progress::ExpectsContinue:
+            reader.resume();
+            if (!continueSent)
+                continueSent = co_await sendContinue();
+            if (!continueSent)
+                co_return end;
+            continue;
+        case request_reader::progress::NeedMore:
+            break;
+        }
+        if (!held.growTo(reader.bodyBytes())) {
+            end.fault = result_code::QueueFull;
+            co_return end;
+        }
+        auto wanted = reader.hasHeader() ? bodyReadBytes : headReadBytes;
+        auto received = co_await receive(wanted);
+        if (received)
+            continue;
+        if (m_expired && m_phase == phase::Reading)
+            end.fault = result_code::RequestTooSlow;
+        co_return end;
+    }
+}
+
+auto caller_session::receive(size_t wanted) -> task<bool>
+{
+    auto space = m_buffer.prepare(wanted);
+    auto [error, received] = co_await m_socket.async_read_some(space, useTask);
+    if (error || m_expired)
+        co_return false;
+    m_buffer.commit(received);
+    co_return true;
+}
+
+auto caller_session::sendContinue() -> task<bool>
+{
+    constexpr auto text = std::string_view { "HTTP/1.1 100 Continue\r\n\r\n" };
+    auto [error, written] = co_await asio::async_write(m_socket, asio::buffer(text), useTask);
+    co_return !error;
+}
+
+auto caller_session::handle(inbound_message message) -> task<bool>
+{
+    auto startedAt = steadyClockNow();
+    auto request = caller_request { std::move(message) };
+    m_keepAlive = request.message.keep_alive() && request.message.version() == 11;
+    m_acceptsChunks = request.message.version() == 11;
+    m_cancellation = {};
+    auto code = readProductFields(request, m_thread.random);
+    m_requestId = request.id;
+    auto answer = caller_answer {};
+    if (code != result_code::Ok) {
+        answer = makeRefusal(code, request.id);
+    } else {
+        beginWatch();
+        answer = co_await route(request);
+        endWatch();
+    }
+    auto spent = steadyClockNow() - startedAt;
+    m_context.counters.requestMicroseconds.fetch_add(static_cast<uint64_t>(spent.ns / 1000), std::memory_order_relaxed);
+    m_context.counters.countResult(answer.code);
+    if (answer.cut) {
+        increment(m_context.counters.streamedAnswersCut);
+        closeVisibly();
+        co_return false;
+    }
+    if (m_cancellation.cancelled())
+        co_return false;
+    if (answer.passedOn)
+        co_return m_keepAlive&& m_socket.is_open();
+    // A stopping node sheds its connections one answer at a time.
+    auto keepAlive = m_keepAlive && !m_context.stopping.load(std::memory_order_relaxed);
+    auto written = co_await writeAnswer(std::move(answer), keepAlive);
+    co_return written;
+}
+
+auto caller_session::route(caller_request& request) -> task<caller_answer>
+{
+    auto snapshot = m_context.snapshot.load();
+    if (!snapshot || !snapshot->config)
+        co_return makeRefusal(result_code::NodeNotReady, request.id);
+    auto target = std::string_view(request.message.target());
+    if (pathOf(target) == nodesPath)
+        co_return answerNodes(m_context, *snapshot, request, m_thread.random);
+    auto service = snapshot->findRoute(target);
+    if (!service)
+        co_return makeRefusal(result_code::UnknownService, request.id);
+    auto now = m_context.now();
+    if (request.deadline == never)
+        request.deadline = now + service->spec->rules.defaultDeadline;
+    if (now >= request.deadline)
+        co_return makeRefusal(result_code::DeadlineBeforeSend, request.id);
+    if (!service->servedHere && !request.hopped) {
+        auto hop = peer_hop(m_thread, request, *service, *this, m_cancellation);
+        auto answer = co_await hop.run();
+        co_return answer;
+    }
+    auto dispatcher = request_dispatcher(m_thread, request, *service, *this, m_cancellation);
+    auto answer = co_await dispatcher.run();
+    co_return answer;
+}
+
+auto caller_session::writeAnswer(caller_answer answer, bool keepAlive) -> task<bool>
+{
+    answer.message.keep_alive(keepAlive);
+    armGuard(m_context.settings.requestReadLimit);
+    auto [error, written] = co_await http::async_write(m_socket, answer.message, useTask);
+    disarmGuard();
+    co_return !error && keepAlive;
+}
+
+auto caller_session::closeGently() -> task<>
+{
+    // Closing with unread bytes would reset the connection, and the caller could lose the refusal.
+    auto ignored = error_code {};
+    m_socket.shutdown(tcp_socket::shutdown_send, ignored);
+    armGuard(drainLimit);
+    for (auto drained = size_t { 0 }; drained < maxDrainBytes;) {
+        m_buffer.clear();
+        auto received = co_await receive(headReadBytes);
+        if (!received)
+            break;
+        drained += m_buffer.size();
+    }
+    disarmGuard();
+    close();
+}
+
+auto caller_session::closeVisibly() -> void
+{
+    // A reset, so that not even an answer that ends with its connection can pass for whole.
+    auto ignored = error_code {};
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
+auto caller_session::close() -> bool
+{
+    if (!m_socket.is_open())
+        return false;
+    auto ignored = error_code {};
+    m_socket.close(ignored);
+    return true;
+}
+
+auto caller_session::cancel() -> void
+{
+    m_cancellation.cancel();
+    close();
+}
+
+auto caller_session::closeIfIdle() -> void
+{
+    // Bytes that wait in the socket belong to a request that is on its way.
+    auto byte = char {};
+    auto isQuiet = m_phase == phase::Idle && ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
+    if (isQuiet)
+        close();
+}
+
+auto caller_session::setPhase(phase next) -> void
+{
+    auto wasWaiting = m_phase != phase::Busy;
+    m_phase = next;
+    if (next == phase::Busy)
+        m_registry.noteBusy(m_position);
+    else
+        m_registry.noteWaiting(m_position, wasWaiting);
+}
+
+auto caller_session::begin(http::response_header<> head, std::optional<uint64_t> length) -> task<bool>
+{
+    endWatch();
+    removeConnectionFields(head);
+    auto message = http::response<http::empty_body>(std::move(head));
+    message.version(11);
+    m_chunked = !length && m_acceptsChunks;
+    m_keepAlive = m_keepAlive && (length || m_chunked) && !m_context.stopping.load(std::memory_order_relaxed);
+    if (length)
+        message.content_length(*length);
+    else if (m_chunked)
+        message.chunked(true);
+    message.keep_alive(m_keepAlive);
+    setOutcomeFields(message, result_code::Ok, request_outcome::Answered, m_requestId);
+    auto serializer = http::response_serializer<http::empty_body>(message);
+    armGuard(m_context.settings.requestReadLimit);
+    auto [error, written] = co_await http::async_write_header(m_socket, serializer, useTask);
+    co_return !error;
+}
+
+auto caller_session::write(std::string_view part) -> task<bool>
+{
+    if (part.empty())
+        co_return true;
+    armGuard(m_context.settings.requestReadLimit);
+    auto buffer = asio::const_buffer(part.data(), part.size());
+    if (m_chunked) {
+        auto chunk = http::make_chunk(buffer);
+        auto [error, written] = co_await asio::async_write(m_socket, chunk, useTask);
+        co_return !error;
+    }
+    auto [error, written] = co_await asio::async_write(m_socket, buffer, useTask);
+    co_return !error;
+}
+
+auto caller_session::end() -> task<bool>
+{
+    if (m_chunked) {
+        auto last = http::make_chunk_last();
+        auto [error, written] = co_await asio::async_write(m_socket, last, useTask);
+        if (error)
+            co_return false;
+    }
+    disarmGuard();
+    co_return true;
+}
+
+auto caller_session::armGuard(duration limit) -> void
+{
+    m_expired = false;
+    m_guard.expires_after(std::chrono::nanoseconds(limit.ns));
+    m_guard.async_wait([self = shared_from_this(), round = ++m_guardRound](const error_code& error) {
+        if (error || round != self->m_guardRound)
+            return;
+        self->m_expired = true;
+        auto ignored = error_code {};
+        // Reading ends with a refusal that must still go out; a write that takes too long is beyond help.
+        if (self->m_phase == phase::Busy)
+            self->m_socket.close(ignored);
+        else
+            self->m_socket.cancel(ignored);
+    });
+}
+
+auto caller_session::disarmGuard() -> void
+{
+    ++m_guardRound;
+    m_guard.cancel();
+}
+
+auto caller_session::beginWatch() -> void
+{
+    m_watching = true;
+    m_socket.async_wait(tcp_socket::wait_read, [self = shared_from_this(), round = ++m_watchRound](const error_code& error) {
+        if (!error && self->m_watching && round == self->m_watchRound)
+            self->onReadable();
+    });
+}
+
+auto caller_session::endWatch() -> void
+{
+    if (!m_watching)
+        return;
+    m_watching = false;
+    auto ignored = error_code {};
+    m_socket.cancel(ignored);
+}
+
+auto caller_session::onReadable() -> void
+{
+    auto byte = char {};
+    auto received = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    // A next request that came early waits for its turn; it also hides a later end of stream, which the answer's write finds.
+    if (received > 0)
+        return;
+    if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        return beginWatch();
+    m_cancellation.cancel();
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/proxy/caller_session.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "gypsumhub/proxy/answer_sink.h"
+#include "gypsumhub/proxy/asio_types.h"
+#include "gypsumhub/proxy/caller_answer.h"
+#include "gypsumhub/proxy/caller_request.h"
+#include "gypsumhub/proxy/held_bytes.h"
+#include "gypsumhub/proxy/request_cancellation.h"
+#include "gypsumhub/proxy/session_registry.h"
+#include "gypsumhub/proxy/thread_resources.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <memory>
+#include <optional>
+
+namespace gypsumhub {
+
+/// One caller's connection: reads a request, has it handled, writes the answer, and only then reads the next one.
+/// Whoever accepts the connection counts it as open; the session counts it as closed.
+class caller_session : public std::enable_shared_from_this<caller_session>, private answer_sink {
+public:
+    caller_session(tcp_socket, thread_resources&, session_registry&);
+    ~caller_session() override;
+
+    /// Serves the connection until it closes. The caller keeps a reference until then.
+    auto run() -> task<>;
+
+    /// Refuses the connection because the node holds as many as it may, then closes it.
+    auto refuse() -> task<>;
+
+    /// Closes the socket; false when it was closed before.
+    auto close() -> bool;
+
+    /// Closes the socket and cancels the request in work.
+    auto cancel() -> void;
+
+    /// Closes the socket if no byte of a request has arrived since the last answer.
+    auto closeIfIdle() -> void;
+
+private:
+    enum class phase : uint8_t {
+        Idle,
+        Reading,
+        Busy,
+    };
+
+    // Why reading a request ended: a request, a refusal, or a closed connection.
+    struct read_end {
+        std::optional<inbound_message> message;
+        result_code fault { result_code::Ok };
+    };
+
+    auto serve() -> task<>;
+    auto readRequest(held_bytes&) -> task<read_end>;
+    auto receive(size_t wanted) -> task<bool>;
+    auto sendContinue() -> task<bool>;
+    auto handle(inbound_message) -> task<bool>;
+    auto route(caller_request&) -> task<caller_answer>;
+    auto writeAnswer(caller_answer, bool keepAlive) -> task<bool>;
+    auto closeGently() -> task<>;
+    auto closeVisibly() -> void;
+    auto setPhase(phase) -> void;
+
+    auto begin(http::response_header<> head, std::optional<uint64_t> length) -> task<bool> override;
+    auto write(std::string_view part) -> task<bool> override;
+    auto end() -> task<bool> override;
+
+    // The guard ends pending operations when their time is over.
+    auto armGuard(duration limit) -> void;
+    auto disarmGuard() -> void;
+    // The watch sees a caller go away while its request is in work.
+    auto beginWatch() -> void;
+    auto endWatch() -> void;
+    auto onReadable() -> void;
+
+    tcp_socket m_socket;
+    thread_resources& m_thread;
+    proxy_context& m_context;
+    session_registry& m_registry;
+    session_registry::position m_position;
+    phase m_phase { phase::Idle };
+    beast::flat_buffer m_buffer;
+    steady_timer m_guard;
+    uint64_t m_guardRound { 0 };
+    bool m_expired { false };
+    bool m_watching { false };
+    uint64_t m_watchRound { 0 };
+    request_cancellation m_cancellation;
+    // Of the request in work; how its answer must be framed when it goes out in parts.
+    std::string m_requestId;
+    bool m_keepAlive { false };
+    bool m_acceptsChunks { true };
+    bool m_chunked { false };
+};
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/proxy/held_bytes.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "gypsumhub/proxy/proxy_context.h"
+
+#include <cstdint>
+
+namespace gypsumhub {
+
+/// Counts the bytes that one request holds against the server's limit; gives them back when destroyed.
+class held_bytes {
+public:
+    explicit held_bytes(const proxy_context& context)
+        : m_context(context)
+    {
+    }
+
+    held_bytes(const held_bytes&) = delete;
+    auto operator=(const held_bytes&) -> held_bytes& = delete;
+    ~held_bytes() { m_context.heldBytes.fetch_sub(m_bytes, std::memory_order_relaxed); }
+
+    /// Raises the count to `bytes`; false, with the count unchanged, when the server's limit does not allow it.
+    auto growTo(uint64_t bytes) -> bool
+    {
+        if (bytes <= m_bytes)
+            return true;
+        auto more = bytes - m_bytes;
+        if (m_context.heldBytes.fetch_add(more, std::memory_order_relaxed) + more > m_context.settings.maxHeldBytes) {
+            m_context.heldBytes.fetch_sub(more, std::memory_order_relaxed);
+            return false;
+        }
+        m_bytes = bytes;
+        return true;
+    }
+
+private:
+    const proxy_context& m_context;
+    uint64_t m_bytes { 0 };
+};
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/proxy/message_fields.cpp
@@ -0,0 +1,76 @@
+#include "gypsumhub/proxy/message_fields.h"
+
+#include "gypsumhub/proxy/header_names.h"
+
+#include <boost/beast/http/rfc7230.hpp>
+#include <string>
+#include <vector>
+
+namespace gypsumhub {
+
+namespace {
+
+    constexpr auto connectionFields = std::to_array<std::string_view>({
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Connection",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "TE",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+        "Expect",
+        "Content-Length",
+    });
+
+    constexpr auto productFields = std::to_array<std::string_view>({
+        header_names::deadline,
+        header_names::requestId,
+        header_names::attempt,
+        header_names::outcome,
+        header_names::result,
+        header_names::declined,
+        header_names::hop,
+    });
+
+} // namespace
+
+auto removeConnectionFields(http::fields& fields) -> void
+{
+    // Names first, since erasing invalidates the list.
+    auto named = std::vector<std::string> {};
+    for (auto token : http::token_list(fields[http::field::connection]))
+        named.emplace_back(token);
+    for (auto& name : named)
+        fields.erase(name);
+    for (auto name : connectionFields)
+        fields.erase(name);
+    for (auto name : productFields)
+        fields.erase(name);
+}
+
+auto makeOutboundHead(const caller_request& request, bool hop) -> http::request_header<>
+{
+    auto head = http::request_header<>(request.message.base());
+    head.version(11);
+    removeConnectionFields(head);
+    auto& body = request.message.body();
+    auto carriesBody = !body.empty() || request.message.has_content_length() || request.message.chunked();
+    if (carriesBody)
+        head.set(http::field::content_length, std::to_string(body.size()));
+    head.set(header_names::requestId, request.id);
+    head.set(header_names::deadline, std::to_string(request.deadline.ns / 1'000'000));
+    if (request.attempt > 0)
+        head.set(header_names::attempt, std::to_string(request.attempt));
+    // `Connection` could have named the key; it must reach the target whatever the caller wrote there.
+    if (!request.idempotencyKey.empty())
+        head.set(header_names::idempotencyKey, request.idempotencyKey);
+    if (!request.traceparent.empty())
+        head.set(header_names::traceparent, request.traceparent);
+    if (hop)
+        head.set(header_names::hop, "1");
+    return head;
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/proxy/peer_hop.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "gypsumhub/decision/request/request_state.h"
+#include "gypsumhub/proxy/answer_sink.h"
+#include "gypsumhub/proxy/caller_answer.h"
+#include "gypsumhub/proxy/caller_request.h"
+#include "gypsumhub/proxy/request_cancellation.h"
+#include "gypsumhub/proxy/thread_resources.h"
+
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace gypsumhub {
+
+/// Passes a request that this node does not serve to one member of the service's group. The member decides and retries;
+/// this side asks another member only when the first one provably did not run the request, or died and the request is idempotent.
+class peer_hop {
+public:
+    /// The request's deadline must be set. `service` must outlive the call.
+    peer_hop(thread_resources&, const caller_request&, const service_view& service, answer_sink&, request_cancellation&);
+
+    /// The member's answer, or a refusal.
+    auto run() -> task<caller_answer>;
+
+private:
+    struct hop_end {
+        next_step next;
+        std::optional<caller_answer> answer;
+        bool passedOn { false };
+    };
+
+    auto orderedMembers() -> std::vector<member_view>;
+    auto askMember(const member_view&) -> task<hop_end>;
+    auto mayAskAnother(const caller_answer&) const -> bool;
+
+    thread_resources& m_thread;
+    const caller_request& m_request;
+    const service_view& m_service;
+    answer_sink& m_sink;
+    request_cancellation& m_cancellation;
+    request_state m_state;
+    http::request_header<> m_head;
+};
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/proxy/request_head_check.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "gypsumhub/core/result_code.h"
+#include "gypsumhub/proxy/asio_types.h"
+
+#include <string_view>
+
+namespace gypsumhub {
+
+/// Checks the raw bytes of a request's head, up to and including the empty line or as far as they have arrived: every line
+/// ends with CR LF, no CR or LF stands alone, no line is folded, no other control byte occurs. `Ok` or `MalformedRequest`.
+auto checkHeadBytes(std::string_view head) -> result_code;
+
+/// Checks a parsed head: version, method, target, `Host`, one unambiguous length, and no repeated field of the product.
+/// `Ok`, `MalformedRequest` or `AmbiguousFraming`.
+auto checkHeadFields(const http::request_header<>&) -> result_code;
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/proxy/request_reader.cpp
@@ -0,0 +1,113 @@
+#include "gypsumhub/proxy/request_reader.h"
+
+#include "gypsumhub/proxy/request_head_check.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace gypsumhub {
+
+namespace {
+
+    auto codeOf(const error_code& error) -> result_code
+    {
+        if (error == http::error::header_limit || error == http::error::body_limit || error == http::error::buffer_overflow)
+            return result_code::RequestTooLarge;
+        if (error == http::error::bad_content_length || error == http::error::bad_transfer_encoding
+            || error == http::error::multiple_content_length)
+            return result_code::AmbiguousFraming;
+        return result_code::MalformedRequest;
+    }
+
+    auto countFields(const http::fields& fields) -> size_t
+    {
+        return static_cast<size_t>(std::distance(fields.begin(), fields.end()));
+    }
+
+} // namespace
+
+request_reader::request_reader(limits limits)
+    : m_limits(limits)
+{
+    m_parser.header_limit(m_limits.headerBytes);
+    m_parser.body_limit(m_limits.bodyBytes);
+}
+
+auto request_reader::feed(std::span<const char> bytes) -> size_t
+{
+    auto taken = size_t { 0 };
+    if (!m_hasHeader)
+        taken = feedHeader(bytes);
+    if (m_hasHeader && m_state == progress::NeedMore)
+        taken += feedBody(bytes.subspan(taken));
+    return taken;
+}
+
+auto request_reader::feedHeader(std::span<const char> bytes) -> size_t
+{
+    // The parser sees the head only once it is complete and its raw bytes are checked.
+    auto view = std::string_view(bytes.data(), bytes.size());
+    auto end = view.find("\r\n\r\n");
+    auto headSize = end == std::string_view::npos ? view.size() : end + 4;
+    if (auto code = checkHeadBytes(view.substr(0, headSize)); code != result_code::Ok) {
+        fail(code);
+        return 0;
+    }
+    if (headSize > m_limits.headerBytes) {
+        fail(result_code::RequestTooLarge);
+        return 0;
+    }
+    if (end == std::string_view::npos)
+        return 0;
+
+    auto error = error_code {};
+    auto taken = m_parser.put(asio::buffer(view.data(), headSize), error);
+    if (error == http::error::need_more)
+        error = {};
+    // Two lengths are refused as ambiguous whatever the parser calls them.
+    auto code = error ? codeOf(error) : checkHeadFields(m_parser.get());
+    if (code != result_code::Ok || !m_parser.is_header_done() || taken != headSize) {
+        fail(code == result_code::Ok ? result_code::MalformedRequest : code);
+        return 0;
+    }
+    m_hasHeader = true;
+    m_headerFields = countFields(m_parser.get());
+    if (m_parser.is_done())
+        m_state = progress::Done;
+    else if (beast::iequals(m_parser.get()[http::field::expect], "100-continue"))
+        m_state = progress::ExpectsContinue;
+    return taken;
+}
+
+auto request_reader::feedBody(std::span<const char> bytes) -> size_t
+{
+    m_parser.eager(true);
+    auto taken = size_t { 0 };
+    while (taken < bytes.size() && !m_parser.is_done()) {
+        auto error = error_code {};
+        auto used = m_parser.put(asio::buffer(bytes.data() + taken, bytes.size() - taken), error);
+        taken += used;
+        if (error == http::error::need_more)
+            break;
+        if (error) {
+            fail(codeOf(error));
+            return taken;
+        }
+    }
+    if (!m_parser.is_done())
+        return taken;
+    // The parser adds trailers to the header's fields, where they could pass for checked ones.
+    if (countFields(m_parser.get()) != m_headerFields)
+        fail(result_code::MalformedRequest);
+    else
+        m_state = progress::Done;
+    return taken;
+}
+
+auto request_reader::fail(result_code code) -> void
+{
+    m_state = progress::Failed;
+    m_fault = code;
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/proxy/request_worker.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "gypsumhub/proxy/session_registry.h"
+#include "gypsumhub/proxy/thread_resources.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <memory>
+#include <optional>
+#include <thread>
+
+namespace gypsumhub {
+
+/// One request thread with its event loop.
+class request_worker {
+public:
+    request_worker(proxy_context&, uint32_t index);
+    ~request_worker();
+    request_worker(const request_worker&) = delete;
+    auto operator=(const request_worker&) -> request_worker& = delete;
+
+    auto start() -> void;
+    /// Ends the event loop without waiting for anything. Any thread may call it.
+    auto stop() -> void;
+    auto join() -> void;
+    /// Cancels what is left and runs its handlers, so that nothing refers to the worker any more. After `join` only.
+    auto drain() -> void;
+
+    auto ioContext() -> asio::io_context& { return *m_ioContext; }
+
+    /// Serves a connection that belongs to this worker's event loop. Any thread may call it.
+    auto adopt(tcp_socket) -> void;
+    /// Closes callers' connections without a request. Any thread may call it.
+    auto closeIdleSessions() -> void;
+    /// Closes idle connections to a target. Any thread may call it.
+    auto closeIdleConnections(uint64_t key) -> void;
+    /// Lets requests that wait for a slot of the service try again. Any thread may call it.
+    auto wakeWaiters(service_key) -> void;
+
+private:
+    auto serveConnection(tcp_socket) -> void;
+    auto tick() -> task<>;
+
+    proxy_context& m_context;
+    std::shared_ptr<asio::io_context> m_ioContext;
+    std::optional<asio::executor_work_guard<io_executor>> m_work;
+    thread_resources m_resources;
+    session_registry m_sessions;
+    std::thread m_thread;
+};
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/proxy/slot_queue.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "gypsumhub/core/random_generator.h"
+#include "gypsumhub/decision/request/admission_queue.h"
+#include "gypsumhub/decision/request/target_chooser.h"
+#include "gypsumhub/proxy/asio_types.h"
+#include "gypsumhub/proxy/proxy_context.h"
+#include "gypsumhub/proxy/request_cancellation.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <unordered_map>
+
+namespace gypsumhub {
+
+/// A slot at a target together with the snapshot that it was chosen from, or the code to refuse with.
+struct slot_grant {
+    result_code code { result_code::Ok };
+    /// Set when `code` is `Ok`.
+    std::optional<chosen_target> target;
+    std::shared_ptr<const routing_snapshot> snapshot;
+    /// Points into `snapshot`; null when the service is unknown.
+    const service_view* service { nullptr };
+};
+
+/// What a request asks of its slot.
+struct slot_query {
+    std::span<const vm_key> excluded;
+    bool idempotent { false };
+    time_point deadline;
+};
+
+/// Requests of one service on one request thread that wait for a slot.
+class slot_queue {
+public:
+    /// `thread` is the index of the request thread that owns the queue.
+    slot_queue(proxy_context&, asio::io_context&, service_key, uint32_t thread, uint64_t seed);
+
+    /// Waits until a target has a free slot, the deadline leaves no time, or the caller goes away.
+    auto acquire(slot_query, request_cancellation&) -> task<slot_grant>;
+
+    /// Gives a slot back that was held since `since` (steady clock) and lets the next request go.
+    auto release(slot_lease, time_point since) -> void;
+
+    /// Lets as many waiting requests try as there are free slots.
+    auto wakeWaiters() -> void;
+
+    auto totals() -> service_totals& { return m_totals; }
+    auto hasWaiters() const -> bool { return m_queue.size() > 0; }
+
+private:
+    struct waiter {
+        steady_timer timer;
+        result_code code { result_code::Ok };
+    };
+
+    auto refreshView(slot_grant&, const slot_query&) const -> result_code;
+    auto waitForTurn(const slot_query&, request_cancellation&, uint32_t slots) -> task<result_code>;
+    auto wake(admission_queue::waiter_id, result_code) -> void;
+
+    proxy_context& m_context;
+    asio::io_context& m_ioContext;
+    service_key m_service;
+    uint32_t m_thread;
+    service_totals& m_totals;
+    random_generator m_random;
+    admission_queue m_queue;
+    std::unordered_map<admission_queue::waiter_id, std::shared_ptr<waiter>> m_waiters;
+    admission_queue::waiter_id m_nextWaiter { 1 };
+};
+
+} // namespace gypsumhub
