--- a/unit_tests/proxy/proxy_fixture.h
+++ b/unit_tests/proxy/proxy_fixture.h
@@ -144,7 +144,7 @@
             targets.push_back(std::make_unique<fake_target>(wanted));
             addresses.push_back({ "127.0.0.1", targets.back()->port() });
         }
-        view.group.push_back({ settings.self, { "127.0.0.1", 9 }, 0 });
+        view.group.push_back({ settings.self, { "127.0.0.1", 9 }, 0, "dc-a" });
     }
 
     /// Publishes the snapshot that the members describe and starts the server on first use.
@@ -165,7 +165,7 @@
         service->rules = rules;
         auto config = std::make_shared<configuration>();
         config->revision.number = 1;
-        config->routes["/"] = { "/", "desk" };
+        config->routes = config->routes.with({ { "/", "desk" } }, {});
         config->services["desk"] = service;
         auto next = std::make_shared<routing_snapshot>();
         next->version = ++m_version;
--- a/unit_tests/proxy/request_path_test.cpp
+++ b/unit_tests/proxy/request_path_test.cpp
@@ -28,8 +28,8 @@
 TEST_CASE("GET /v1/nodes gives the group's addresses, nearest first, with an absolute deadline")
 {
     auto fixture = proxy_fixture(1);
-    fixture.view.group.push_back({ { 7 }, { "10.0.0.7", 80 }, 2 });
-    fixture.view.group.push_back({ { 8 }, { "10.0.0.8", 80 }, 1 });
+    fixture.view.group.push_back({ { 7 }, { "10.0.0.7", 80 }, 2, "dc-c" });
+    fixture.view.group.push_back({ { 8 }, { "10.0.0.8", 80 }, 1, "dc-b" });
     fixture.start();
     auto answer = fixture.caller().ask("GET", "/v1/nodes?service=desk");
     REQUIRE(answer.result_int() == 200);
