--- a/gypsumhub/fleet/member_table.cpp
+++ b/gypsumhub/fleet/member_table.cpp
@@ -42,20 +42,20 @@
     return const_cast<member*>(static_cast<const member_table*>(this)->find(key));
 }
 
-auto member_table::merge(const member_claim& claim) -> merge_result
+auto member_table::merge(const member_claim& claim) -> member_merge_result
 {
     auto* known = find(claim.node);
     if (!known)
-        return merge_result::Ignored;
+        return member_merge_result::Ignored;
     auto older = claim.incarnation < known->incarnation || (claim.incarnation == known->incarnation && claim.state < known->state);
     if (older)
-        return merge_result::Outdated;
+        return member_merge_result::Outdated;
     if (claim == known->claim())
-        return merge_result::Ignored;
+        return member_merge_result::Ignored;
     auto replaced = known->incarnation != 0 && claim.incarnation > known->incarnation + refutationRange;
     known->incarnation = claim.incarnation;
     known->state = claim.state;
-    return replaced ? merge_result::AdoptedReplacement : merge_result::Adopted;
+    return replaced ? member_merge_result::AdoptedReplacement : member_merge_result::Adopted;
 }
 
 auto member_table::hashOfAbsent() const -> uint64_t
--- a/gypsumhub/fleet/member_table.h
+++ b/gypsumhub/fleet/member_table.h
@@ -28,7 +28,7 @@
 };
 
 /// What became of a claim.
-enum class merge_result : uint8_t {
+enum class member_merge_result : uint8_t {
     /// Nothing new, or about a node that is not registered.
     Ignored,
     /// The claim is older than what is known.
@@ -50,7 +50,7 @@
     auto members() -> std::span<member> { return m_members; }
 
     /// Adopts the claim if it is newer: a higher incarnation wins, then the later state.
-    auto merge(const member_claim&) -> merge_result;
+    auto merge(const member_claim&) -> member_merge_result;
 
     /// A member that fulfils the predicate, or nothing.
     template <typename Predicate>
--- a/gypsumhub/fleet/membership.cpp
+++ b/gypsumhub/fleet/membership.cpp
@@ -286,7 +286,7 @@
             refute(claim);
             continue;
         }
-        if (adoptOne(claim, now) != merge_result::Outdated || claim.state == member_state::Alive)
+        if (adoptOne(claim, now) != member_merge_result::Outdated || claim.state == member_state::Alive)
             continue;
         // The sender takes for absent a node of which we know better.
         auto* entry = m_table.find(claim.node);
@@ -297,14 +297,14 @@
         m_sender.send(sender, membership_message { std::move(corrections) });
 }
 
-auto membership::adoptOne(const member_claim& claim, time_point now) -> merge_result
+auto membership::adoptOne(const member_claim& claim, time_point now) -> member_merge_result
 {
     auto* entry = m_table.find(claim.node);
     if (!entry || claim.node == m_settings.self)
-        return merge_result::Ignored;
+        return member_merge_result::Ignored;
     auto before = *entry;
     auto result = m_table.merge(claim);
-    if (result != merge_result::Adopted && result != merge_result::AdoptedReplacement)
+    if (result != member_merge_result::Adopted && result != member_merge_result::AdoptedReplacement)
         return result;
     if (entry->state == member_state::Suspected) {
         auto isContact = std::ranges::find(m_rings.contacts(), claim.node) != m_rings.contacts().end();
@@ -314,11 +314,11 @@
             m_sender.send(claim.node, membership_message { { claim } });
     }
     // Learning the incarnation of a node that was alive all along is no news.
-    if (entry->state != before.state || result == merge_result::AdoptedReplacement)
+    if (entry->state != before.state || result == member_merge_result::AdoptedReplacement)
         m_news.add(claim.node, m_table.members().size());
     if (entry->isReachable() != before.isReachable())
         m_rings.refresh(m_table);
-    if (result == merge_result::AdoptedReplacement)
+    if (result == member_merge_result::AdoptedReplacement)
         m_listener.onPeerReplaced(claim.node);
     if (entry->takesWork() != before.takesWork())
         m_listener.onMembershipChange();
--- a/gypsumhub/fleet/membership.h
+++ b/gypsumhub/fleet/membership.h
@@ -90,7 +90,7 @@
     auto expireSuspicions(time_point now) -> void;
     auto gossip(time_point now) -> void;
     auto adopt(node_key sender, std::span<const member_claim>, time_point now) -> void;
-    auto adoptOne(const member_claim&, time_point now) -> merge_result;
+    auto adoptOne(const member_claim&, time_point now) -> member_merge_result;
     auto refute(const member_claim&) -> void;
     auto claimsOf(std::span<const node_key>) const -> std::vector<member_claim>;
     auto ownClaim() const -> member_claim;
