--- a/gypsumhub/main/claim_driver.cpp
+++ b/gypsumhub/main/claim_driver.cpp
@@ -85,4 +85,4 @@
         waiting.mapped()(std::move(command.verdict));
 }
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/main/claim_driver.h
+++ b/gypsumhub/main/claim_driver.h
@@ -39,4 +39,4 @@
     std::unordered_map<uint64_t, std::function<void(claim_verdict)>> m_waiting;
 };
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/main/commands.cpp
+++ b/gypsumhub/main/commands.cpp
@@ -4,12 +4,18 @@
 #include "gypsumhub/main/node.h"
 #include "gypsumhub/operator/admin_client.h"
 #include "gypsumhub/operator/json_log_sink.h"
+#include "gypsumhub/operator/register/register_request.h"
 
 #include <charconv>
+#include <cstdlib>
 #include <gflags/gflags.h>
 #include <iostream>
 
 DEFINE_string(node, "", "operator address of a running node, IP:PORT");
+DEFINE_string(store, "", "addresses of the store, IP:PORT, comma-separated");
+DEFINE_string(author, "", "who makes the change, for the history; the login name by default");
+DEFINE_string(note, "", "what the change is for, for the history; the file's name by default");
+DEFINE_bool(dry_run, false, "only show what would change");
 
 namespace gypsumhub {
 
@@ -62,25 +68,71 @@
         return printFromNode("/v1/explain?of=" + arguments.front());
     }
 
+    auto authorName() -> std::string
+    {
+        if (!FLAGS_author.empty())
+            return FLAGS_author;
+        auto* user = std::getenv("USER");
+        return user ? user : "unknown";
+    }
+
+    auto runOnStore(config_document document, command_arguments words) -> leaf::result<void>
+    {
+        auto settings = register_commands::settings { document, authorName(), FLAGS_note };
+        auto request = register_request { std::move(words), FLAGS_dry_run, FLAGS_store };
+        BOOST_LEAF_AUTO(text, runRegisterRequest(request, std::move(settings)));
+        std::cout << text;
+        return {};
+    }
+
+    auto registerCommand(const command_arguments& arguments) -> leaf::result<void>
+    {
+        return runOnStore(config_document::Register, arguments);
+    }
+
+    auto rulesCommand(const command_arguments& arguments) -> leaf::result<void>
+    {
+        return runOnStore(config_document::Rules, arguments);
+    }
+
+    auto history(const command_arguments& arguments) -> leaf::result<void>
+    {
+        auto words = command_arguments { "history" };
+        words.insert(words.end(), arguments.begin(), arguments.end());
+        return runOnStore(config_document::Register, std::move(words));
+    }
+
+    auto rollback(const command_arguments& arguments) -> leaf::result<void>
+    {
+        return runOnStore(config_document::Register, { "rollback", arguments.front() });
+    }
+
     auto version(const command_arguments&) -> leaf::result<void>
     {
         std::cout << "gypsumhub " << programVersion << "\n";
         return {};
     }
 
+    constexpr auto documentUsage = "show | check FILE | diff FILE | apply FILE [--dry-run] | reinstate FILE, with --store=IP:PORT";
+    const auto storeFlags = std::vector<std::string_view> { "store", "author", "note", "dry_run" };
+
     const command_row commands[] = {
         { "serve", "Runs a node until SIGTERM.", "SETTINGS", 1, 1, {}, serve },
         { "check", "Checks a settings file whole, without starting anything.", "SETTINGS", 1, 1, {}, check },
         { "status", "Prints the state of a running node as JSON.", "--node=IP:PORT", 0, 0, { "node" }, status },
         { "explain", "Prints why each target of a service is in, demoted or out.", "SERVICE_OR_VM --node=IP:PORT", 1, 1, { "node" }, explain },
+        { "register", "Works on the inventory of VMs, services, nodes, routes and callers in the store.", documentUsage, 1, 2, storeFlags, registerCommand },
+        { "rules", "Works on the rules of the services in the store.", documentUsage, 1, 2, storeFlags, rulesCommand },
+        { "history", "Lists the latest revisions, newest first.", "[LIMIT] --store=IP:PORT", 0, 1, { "store" }, history },
+        { "rollback", "Makes a new revision with the content of an old one.", "NUMBER --store=IP:PORT", 1, 1, storeFlags, rollback },
         { "version", "Prints the program's version.", "", 0, 0, {}, version },
     };
 
-}
+} // namespace
 
 auto commandTable() -> std::span<const command_row>
 {
     return commands;
 }
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/main/commands.h
+++ b/gypsumhub/main/commands.h
@@ -9,4 +9,4 @@
 /// Every command of the program, in the order of `gypsumhub --help`.
 auto commandTable() -> std::span<const command_row>;
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/main/decision_driver.cpp
+++ b/gypsumhub/main/decision_driver.cpp
@@ -59,4 +59,4 @@
     m_effects.stateChanged(command);
 }
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/main/decision_driver.h
+++ b/gypsumhub/main/decision_driver.h
@@ -46,4 +46,4 @@
     std::array<uint64_t, 5> m_stateChanges {};
 };
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/main/membership_driver.cpp
+++ b/gypsumhub/main/membership_driver.cpp
@@ -54,4 +54,4 @@
     m_effects.peerReplaced(peer);
 }
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/main/membership_driver.h
+++ b/gypsumhub/main/membership_driver.h
@@ -27,7 +27,7 @@
     auto announceStop() -> void;
 
     /// Hands a message to the membership.
-    template<typename Message>
+    template <typename Message>
         requires requires(membership& target, const Message& message) { target.handle(node_key {}, message, time_point {}); }
     auto onMessage(node_key sender, const Message& message) -> void
     {
@@ -48,4 +48,4 @@
     std::atomic<bool> m_ready { false };
 };
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/main/node.cpp
+++ b/gypsumhub/main/node.cpp
@@ -53,4 +53,4 @@
     return {};
 }
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/main/node.h
+++ b/gypsumhub/main/node.h
@@ -24,4 +24,4 @@
     std::unique_ptr<implementation> m_implementation;
 };
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/main/node_parts.cpp
+++ b/gypsumhub/main/node_parts.cpp
@@ -74,7 +74,7 @@
         LOG(INFO) << boost::json::serialize(fields);
     }
 
-}
+} // namespace
 
 node_parts::node_parts(const node_settings& settings)
     : m_settings(settings)
@@ -294,4 +294,4 @@
     return metrics->toText();
 }
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/main/node_parts.h
+++ b/gypsumhub/main/node_parts.h
@@ -76,4 +76,4 @@
     std::atomic<bool> m_stopping { false };
 };
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/main/node_report.cpp
+++ b/gypsumhub/main/node_report.cpp
@@ -43,7 +43,7 @@
         metrics.addGauge("service_served_here", "1 when this node belongs to the serving group.", view.servedHere, { { "service", name } });
     }
 
-}
+} // namespace
 
 auto reportService(const service_view& view) -> service_report
 {
@@ -114,4 +114,4 @@
     }
 }
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/main/node_report.h
+++ b/gypsumhub/main/node_report.h
@@ -30,4 +30,4 @@
 /// Metrics of the snapshot in force and of the decisions about targets.
 auto addDecisionMetrics(metric_set&, const routing_snapshot&, const decision_driver&) -> void;
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/main/store_follower.cpp
+++ b/gypsumhub/main/store_follower.cpp
@@ -14,7 +14,7 @@
     constexpr auto readLimit = seconds(4);
     constexpr auto retryWait = std::chrono::milliseconds(500);
 
-}
+} // namespace
 
 store_follower::store_follower(store& source, std::function<void(std::shared_ptr<const config_revision>)> listener,
     std::function<void(const fault&)> refused)
@@ -65,4 +65,4 @@
     }
 }
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/main/store_follower.h
+++ b/gypsumhub/main/store_follower.h
@@ -28,4 +28,4 @@
     std::jthread m_thread;
 };
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/main/vm_list_poller.cpp
+++ b/gypsumhub/main/vm_list_poller.cpp
@@ -33,7 +33,7 @@
         wake.wait_for(lock, stop, std::chrono::nanoseconds(time.ns), [] { return false; });
     }
 
-}
+} // namespace
 
 vm_list_poller::vm_list_poller(const vm_list_poller_settings& settings, std::function<void(vm_list_event)> listener)
     : m_settings(settings)
@@ -74,4 +74,4 @@
     }
 }
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/main/vm_list_poller.h
+++ b/gypsumhub/main/vm_list_poller.h
@@ -37,4 +37,4 @@
     std::jthread m_thread;
 };
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/operator/admin_client.cpp
+++ b/gypsumhub/operator/admin_client.cpp
@@ -46,7 +46,7 @@
         co_await http::async_read(stream, buffer, result.response, asio::redirect_error(asio::use_awaitable, result.error));
     }
 
-}
+} // namespace
 
 auto fetchFromNode(const endpoint& node, std::string_view path) -> leaf::result<std::string>
 {
@@ -66,4 +66,4 @@
     return std::move(result.response.body());
 }
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/operator/admin_client.h
+++ b/gypsumhub/operator/admin_client.h
@@ -12,4 +12,4 @@
 /// `UsageError` when the node answers 404.
 auto fetchFromNode(const endpoint&, std::string_view path) -> leaf::result<std::string>;
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/operator/admin_server.cpp
+++ b/gypsumhub/operator/admin_server.cpp
@@ -92,7 +92,7 @@
         }
     }
 
-}
+} // namespace
 
 struct admin_server::implementation {
     implementation(const admin_server_settings& initial, admin_view& observed)
@@ -143,4 +143,4 @@
     return {};
 }
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/operator/admin_server.h
+++ b/gypsumhub/operator/admin_server.h
@@ -30,4 +30,4 @@
     std::unique_ptr<implementation> m_implementation;
 };
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/operator/admin_view.h
+++ b/gypsumhub/operator/admin_view.h
@@ -23,4 +23,4 @@
     virtual auto metricsText() -> std::string = 0;
 };
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/operator/command_line.cpp
+++ b/gypsumhub/operator/command_line.cpp
@@ -108,7 +108,7 @@
         return list.faults.empty() ? 1 : exitStatus(list.faults.front().code);
     }
 
-}
+} // namespace
 
 auto exitStatus(result_code code) -> int
 {
@@ -146,4 +146,4 @@
         });
 }
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/operator/command_line.h
+++ b/gypsumhub/operator/command_line.h
@@ -36,4 +36,4 @@
 /// `help` or `--help` alone, print help to standard output; faults go to standard error. Returns the exit status.
 auto runCommandLine(std::span<const std::string> words, std::span<const command_row> table) -> int;
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/operator/json_log_sink.cpp
+++ b/gypsumhub/operator/json_log_sink.cpp
@@ -56,4 +56,4 @@
     std::fflush(m_file);
 }
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/operator/json_log_sink.h
+++ b/gypsumhub/operator/json_log_sink.h
@@ -27,4 +27,4 @@
 /// The line that `json_log_sink` writes for one message, without the line end.
 auto formatLogLine(double unixSeconds, std::string_view severity, std::string_view source, std::string_view message) -> std::string;
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/operator/metric_set.cpp
+++ b/gypsumhub/operator/metric_set.cpp
@@ -43,4 +43,4 @@
     return stream.str();
 }
 
-}
+} // namespace gypsumhub
--- a/gypsumhub/operator/metric_set.h
+++ b/gypsumhub/operator/metric_set.h
@@ -28,4 +28,4 @@
     std::map<std::string, prometheus::MetricFamily, std::less<>> m_families;
 };
 
-}
+} // namespace gypsumhub
--- a/unit_tests/operator/command_line_test.cpp
+++ b/unit_tests/operator/command_line_test.cpp
@@ -32,7 +32,7 @@
         return runCommandLine(words, table);
     }
 
-}
+} // namespace
 
 TEST_CASE("flags may stand anywhere, with dashes or underscores, with = or a space")
 {
@@ -68,4 +68,4 @@
     CHECK(seenArguments.empty());
 }
 
-}
+} // namespace gypsumhub
--- a/unit_tests/operator/json_log_sink_test.cpp
+++ b/unit_tests/operator/json_log_sink_test.cpp
@@ -23,4 +23,4 @@
     CHECK(line.find(R"("message":"{broken")") != std::string::npos);
 }
 
-}
+} // namespace gypsumhub
--- a/unit_tests/operator/metric_set_test.cpp
+++ b/unit_tests/operator/metric_set_test.cpp
@@ -16,4 +16,4 @@
     CHECK(text.find("gypsumhub_results_total{code=\"304\"} 4") != std::string::npos);
 }
 
-}
+} // namespace gypsumhub
