--- a/gypsumhub/fleet/peer_message.h
+++ b/gypsumhub/fleet/peer_message.h
@@ -15,6 +15,10 @@
 /// Evidence about targets, to members of the same serving group.
 struct evidence_message {
     std::vector<evidence> items;
+    /// Who found it, when the sender only passes it on.
+    std::optional<node_key> origin {};
+    /// To whom the receiver shall pass it on within its data centre.
+    std::vector<node_key> forwardTo {};
 };
 
 /// Says which configuration the sender has, and what it knows of the membership.
@@ -22,6 +26,10 @@
     revision_id revision;
     /// Over the nodes that the sender does not believe alive.
     uint64_t membershipHash { 0 };
+    /// Unless 0, the receiver shall answer with its own digest, also when both are equal.
+    uint64_t question { 0 };
+    /// The question that this digest answers, or 0.
+    uint64_t answerTo { 0 };
 };
 
 /// Asks for the way from revision `have` to revision `wanted`; a `have` of 0 asks for a whole configuration.
