--- a/gypsumhub/fleet/configuration_spreader.cpp
+++ b/gypsumhub/fleet/configuration_spreader.cpp
@@ -41,6 +41,7 @@
         for (auto contact : m_membership.contacts())
             greet(contact);
     }
+    refreshReader();
     if (m_download && !m_stalled && m_download->deadline() <= now) {
         m_offers.postpone(m_download->peer(), now + failedPeerPause);
         m_stalled = true;
@@ -74,9 +75,8 @@
     if (m_download && m_download->have() != m_source.current())
         m_download.reset();
     // News crosses between regions by the readers alone; everybody else hears it from neighbours.
-    auto relay = isRelay();
     for (auto contact : m_membership.contacts()) {
-        if (relay || distanceTo(contact) != peer_distance::OtherRegion)
+        if (m_isReader || distanceTo(contact) != peer_distance::OtherRegion)
             sendDigest(contact, 0, 0);
     }
     pursue(now);
@@ -116,7 +116,7 @@
 auto configuration_spreader::noteOffer(node_key sender, const revision_id& revision, time_point now) -> void
 {
     auto distance = distanceTo(sender);
-    auto waits = distance == peer_distance::OtherRegion && !isRelay();
+    auto waits = distance == peer_distance::OtherRegion && !m_isReader;
     auto jitter = duration { static_cast<int64_t>(m_random.below(static_cast<uint64_t>(m_settings.farDelay.ns) + 1)) };
     m_offers.add({ sender, revision, distance, waits ? now + m_settings.farDelay + jitter : now });
     if (!m_download)
@@ -249,7 +249,7 @@
     if (m_digestRound % regionDigestPeriod == 0)
         reach = peer_distance::SameRegion;
     // The way between regions is left to the readers.
-    if (m_digestRound % farDigestPeriod == 0 && isRelay())
+    if (m_digestRound % farDigestPeriod == 0 && m_isReader)
         reach = peer_distance::OtherRegion;
     auto usable = [&](const member& entry, bool anywhere) {
         auto key = entry.node.key;
@@ -277,9 +277,13 @@
     return distanceBetween(own->node, other->node);
 }
 
-auto configuration_spreader::isRelay() const -> bool
+auto configuration_spreader::refreshReader() -> void
 {
-    return isStoreReader(m_membership, m_settings.self, m_settings.readersPerDataCentre);
+    // Choosing hashes the whole data centre, so it is done only when somebody came or went.
+    if (m_membership.version() == m_readerVersion)
+        return;
+    m_readerVersion = m_membership.version();
+    m_isReader = isStoreReader(m_membership, m_settings.self, m_settings.readersPerDataCentre);
 }
 
 auto configuration_spreader::isReady() const -> bool
@@ -292,7 +296,7 @@
     if (!m_started || now < m_learnUntil)
         return false;
     if (m_source.current().number != 0)
-        return m_lagsTooFar || isRelay();
+        return m_lagsTooFar || m_isReader;
     // Peers that hold a revision are asked first; the store's head may be older than theirs.
     return m_offers.empty() && !m_download && now >= m_readAlone;
 }
--- a/gypsumhub/fleet/configuration_spreader.h
+++ b/gypsumhub/fleet/configuration_spreader.h
@@ -9,6 +9,7 @@
 #include "gypsumhub/fleet/upload_queue.h"
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 
 namespace gypsumhub {
@@ -75,7 +76,7 @@
 
 private:
     auto distanceTo(node_key) const -> peer_distance;
-    auto isRelay() const -> bool;
+    auto refreshReader() -> void;
     auto noteOffer(node_key sender, const revision_id&, time_point now) -> void;
     auto reportFork(node_key sender, const revision_id&) -> void;
     auto pursue(time_point now) -> void;
@@ -113,6 +114,9 @@
     time_point m_nextDigest {};
     uint64_t m_digestRound { 0 };
     bool m_started { false };
+    /// Whether this node is a reader, as of the membership's version; the first tick finds out.
+    bool m_isReader { false };
+    uint64_t m_readerVersion { std::numeric_limits<uint64_t>::max() };
 };
 
 } // namespace gypsumhub
--- a/gypsumhub/fleet/membership.cpp
+++ b/gypsumhub/fleet/membership.cpp
@@ -33,6 +33,7 @@
 {
     auto first = m_table.members().empty();
     m_table.setNodes(nodes);
+    ++m_version;
     m_rings.rebuild(m_table.members(), m_settings.self, m_settings.rings);
     m_rings.refresh(m_table);
     if (first) {
@@ -75,18 +76,29 @@
     auto before = m_hearing.isIsolated();
     m_hearing.update(now, hasReachableOthers());
     if (m_hearing.isIsolated() != before)
-        m_listener.onMembershipChange();
+        noteChange();
 }
 
 template <typename Action>
 auto membership::forEachSuspected(Action action) -> void
 {
-    for (auto& entry : m_table.members()) {
-        if (entry.state == member_state::Suspected)
-            action(entry);
+    auto suspects = std::exchange(m_suspects, {});
+    for (auto key : suspects) {
+        auto* entry = m_table.find(key);
+        if (!entry || entry->state != member_state::Suspected)
+            continue;
+        action(*entry);
+        if (entry->state == member_state::Suspected)
+            m_suspects.push_back(key);
     }
 }
 
+auto membership::noteChange() -> void
+{
+    ++m_version;
+    m_listener.onMembershipChange();
+}
+
 auto membership::isAlone() const -> bool
 {
     return m_hearing.isIsolated() || !hasReachableOthers();
@@ -106,7 +118,7 @@
         forEachSuspected([&](member& entry) { entry.suspectedUntil = now + m_settings.suspicion; });
     m_hearing.noteHeard(now);
     if (wasIsolated)
-        m_listener.onMembershipChange();
+        noteChange();
     adoptOne({ sender, incarnation, member_state::Alive }, now);
     // Whom others believe absent learns it here and can refute it.
     auto* entry = m_table.find(sender);
@@ -300,6 +312,8 @@
     if (entry->state == member_state::Suspected) {
         auto isContact = std::ranges::find(m_rings.contacts(), claim.node) != m_rings.contacts().end();
         entry->suspectedUntil = now + m_settings.suspicion * (isContact ? 1 : 2);
+        if (std::ranges::find(m_suspects, claim.node) == m_suspects.end())
+            m_suspects.push_back(claim.node);
         // Its watchers tell the accused at once, so that it can refute in time.
         if (isContact)
             m_sender.send(claim.node, membership_message { { claim } });
@@ -312,7 +326,7 @@
     if (result == claim_result::AdoptedReplacement)
         m_listener.onPeerReplaced(claim.node);
     if (entry->takesWork() != before.takesWork())
-        m_listener.onMembershipChange();
+        noteChange();
     return result;
 }
 
--- a/gypsumhub/fleet/membership.h
+++ b/gypsumhub/fleet/membership.h
@@ -75,6 +75,9 @@
     /// The nodes to push news to, nearer ones first.
     auto contacts() const -> std::span<const node_key> { return m_rings.contacts(); }
 
+    /// Grows whenever `alive` may give another answer than before.
+    auto version() const -> uint64_t { return m_version; }
+
     auto table() const -> const member_table& { return m_table; }
     auto hashOfAbsent() const -> uint64_t { return m_table.hashOfAbsent(); }
     auto incarnation() const -> uint64_t { return m_incarnation; }
@@ -101,6 +104,7 @@
     auto ownClaim() const -> member_claim;
     auto newsForProbe() -> std::vector<member_claim>;
     auto hasReachableOthers() const -> bool;
+    auto noteChange() -> void;
 
     membership_settings m_settings;
     peer_sender& m_sender;
@@ -114,6 +118,9 @@
     probe_table m_probes;
     membership_counts m_counts;
     uint64_t m_incarnation;
+    /// Members in state `Suspected`, and some that no longer are.
+    std::vector<node_key> m_suspects;
+    uint64_t m_version { 0 };
     bool m_stopping { false };
     time_point m_nextProbe {};
     time_point m_nextGossip {};
