--- a/gypsumhub/fleet/configuration_spreader.cpp
+++ b/gypsumhub/fleet/configuration_spreader.cpp
@@ -12,6 +12,7 @@
     // Every so many digests one goes to another data centre of the region, and one to another region.
     constexpr auto regionDigestPeriod = uint64_t { 3 };
     constexpr auto farDigestPeriod = uint64_t { 6 };
+    constexpr auto maxGreeted = std::size_t { 16 };
     // A peer that failed to deliver is left alone for so long.
     constexpr auto failedPeerPause = seconds(3);
     // A peer whose records do not reach back to ours is left alone for longer, because a whole transfer was in vain.
@@ -36,10 +37,10 @@
 {
     if (!m_started) {
         m_started = true;
-        m_learnUntil = now + m_settings.learnDelay;
-        m_readAlone = m_learnUntil + drawColdReadDelay();
+        m_learnUntil = m_settings.hasSeeds ? now + m_settings.learnDelay : now;
+        m_readAlone = m_settings.hasSeeds ? m_learnUntil + drawColdReadDelay() : now;
         for (auto contact : m_membership.contacts())
-            greet(contact);
+            sendDigest(contact, m_question, 0);
     }
     refreshReader();
     if (m_download && !m_stalled && m_download->deadline() <= now) {
@@ -49,6 +50,9 @@
     if (!m_download || m_stalled)
         pursue(now);
     m_uploads.serve(m_source, m_sender, now);
+    // Seeds may have had nothing either when they were asked first.
+    if (m_source.current().number == 0 && now >= m_nextGreeting)
+        greetAgain(now);
     if (m_settings.exchangesDigests && now >= m_nextDigest)
         exchangeDigest(now);
 }
@@ -64,9 +68,18 @@
 
 auto configuration_spreader::greet(node_key peer) -> void
 {
+    if (m_source.current().number == 0 && m_greeted.size() < maxGreeted && std::ranges::find(m_greeted, peer) == m_greeted.end())
+        m_greeted.push_back(peer);
     sendDigest(peer, m_question, 0);
 }
 
+auto configuration_spreader::greetAgain(time_point now) -> void
+{
+    m_nextGreeting = now + m_settings.greetInterval;
+    for (auto peer : m_greeted)
+        sendDigest(peer, m_question, 0);
+}
+
 auto configuration_spreader::announce(time_point now) -> void
 {
     m_confirmed = true;
@@ -88,7 +101,7 @@
     // Another question than before: answers that lay in the sockets during the pause do not count.
     m_question = m_random();
     for (auto contact : m_membership.contacts())
-        greet(contact);
+        sendDigest(contact, m_question, 0);
 }
 
 auto configuration_spreader::handle(node_key sender, const digest_message& message, time_point now) -> void
@@ -298,7 +311,8 @@
     if (m_source.current().number != 0)
         return m_lagsTooFar || m_isReader;
     // Peers that hold a revision are asked first; the store's head may be older than theirs.
-    return m_offers.empty() && !m_download && now >= m_readAlone;
+    auto peersCanTeach = !m_offers.empty() && !m_stalled;
+    return !peersCanTeach && now >= m_readAlone;
 }
 
 } // namespace gypsumhub
--- a/gypsumhub/fleet/configuration_spreader.h
+++ b/gypsumhub/fleet/configuration_spreader.h
@@ -89,6 +89,7 @@
     auto chooseDigestPeer() -> std::optional<node_key>;
     auto sendDigest(node_key receiver, uint64_t question, uint64_t answerTo) -> void;
     auto drawColdReadDelay() -> duration;
+    auto greetAgain(time_point now) -> void;
 
     spreader_settings m_settings;
     const membership& m_membership;
@@ -112,6 +113,9 @@
     /// When a node without configuration and without a peer that has one reads the store.
     time_point m_readAlone { never };
     time_point m_nextDigest {};
+    time_point m_nextGreeting {};
+    /// Peers that this node knows while it has no configuration.
+    std::vector<node_key> m_greeted;
     uint64_t m_digestRound { 0 };
     bool m_started { false };
     /// Whether this node is a reader, as of the membership's version; the first tick finds out.
--- a/gypsumhub/fleet/spreader_settings.h
+++ b/gypsumhub/fleet/spreader_settings.h
@@ -18,6 +18,10 @@
     duration digestInterval { seconds(5) };
     /// Whether digests are exchanged at all.
     bool exchangesDigests { true };
+    /// Whether there are seeds to learn from; without any a node turns to the store at once.
+    bool hasSeeds { true };
+    /// Between two questions to the peers that a node without configuration knows.
+    duration greetInterval { seconds(2) };
     /// How long a node without configuration listens to peers before it takes one.
     duration learnDelay { seconds(1) };
     /// Spread of the instants at which nodes without configuration turn to the store themselves.
--- a/gypsumhub/fleet/transport_loop.cpp
+++ b/gypsumhub/fleet/transport_loop.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace gypsumhub {
 
@@ -69,12 +70,15 @@
 
 auto transport_loop::acceptNext() -> void
 {
-    m_tasks.add(m_receiver->accept().then([this](kj::Own<kj::AsyncIoStream>&& stream) {
-        // Above the limit the new connection is the one to go; those established serve on.
-        if (m_connections.size() < maxConnections)
-            m_connections.push_back(peer_connection::accept(*this, kj::mv(stream)));
-        acceptNext();
-    }));
+    m_tasks.add(m_receiver->accept().then(
+        [this](kj::Own<kj::AsyncIoStream>&& stream) {
+            // Above the limit the new connection is the one to go; those established serve on.
+            if (m_connections.size() < maxConnections)
+                m_connections.push_back(peer_connection::accept(*this, kj::mv(stream)));
+            acceptNext();
+        },
+        // For want of descriptors, for example: they come back when the sweep has closed connections.
+        [this](kj::Exception&&) { m_acceptPaused = true; }));
 }
 
 auto transport_loop::waitForRequests() -> void
@@ -91,9 +95,12 @@
     if (requests.stop)
         m_stopped->fulfill();
     if (requests.peers)
-        m_peers = std::move(*requests.peers);
-    for (auto& seed : requests.seeds)
-        dial(seed, {});
+        replacePeers(std::move(*requests.peers));
+    for (auto& seed : requests.seeds) {
+        // Asked for again and again until there is a configuration; one connection each is enough.
+        if (!m_seedConnections.contains(seed))
+            dial(seed, {});
+    }
     for (auto& entry : requests.messages) {
         auto& link = m_links[entry.receiver];
         auto dropped = link.queue.push(std::move(entry.message), queueClock() + queueLimit);
@@ -104,6 +111,16 @@
     dialWaiting();
 }
 
+auto transport_loop::replacePeers(std::map<node_key, peer_address> peers) -> void
+{
+    m_peers = std::move(peers);
+    // Who is no longer registered loses its connections too.
+    for (auto& connection : m_connections) {
+        if (connection->peer().value != 0 && !isKnown(connection->peer()))
+            connection->close();
+    }
+}
+
 auto transport_loop::scheduleSweep() -> void
 {
     m_tasks.add(m_io.provider->getTimer().afterDelay(sweepInterval).then([this] {
@@ -115,6 +132,8 @@
 auto transport_loop::sweep() -> void
 {
     sweepConnections();
+    if (std::exchange(m_acceptPaused, false))
+        acceptNext();
     // Forget what waited too long and links that hold nothing and lead nowhere.
     for (auto& [peer, link] : m_links)
         m_context.counters.messagesDropped.fetch_add(link.queue.dropExpired(queueClock()), std::memory_order_relaxed);
@@ -140,6 +159,7 @@
         if (link != m_links.end() && link->second.connection == connection.get())
             link->second.connection = nullptr;
     }
+    std::erase_if(m_seedConnections, [](auto& entry) { return entry.second->isClosed(); });
     std::erase_if(m_connections, [](auto& connection) { return connection->isClosed(); });
 }
 
@@ -166,8 +186,10 @@
     auto& timer = m_io.provider->getTimer();
     m_tasks.add(timer.timeoutAfter(dialTimeout, kj::mv(connected))
                     .then(
-                        [this, expected](kj::Own<kj::AsyncIoStream>&& stream) {
+                        [this, expected, target](kj::Own<kj::AsyncIoStream>&& stream) {
                             m_connections.push_back(peer_connection::dial(*this, kj::mv(stream), expected));
+                            if (expected.value == 0)
+                                m_seedConnections[target] = m_connections.back().get();
                         },
                         [this, expected](kj::Exception&&) { endFailedAttempt(expected); }));
 }
@@ -246,8 +268,7 @@
 
 auto transport_loop::taskFailed(kj::Exception&&) -> void
 {
-    // Only accepting can fail here, for want of descriptors; the sweep goes on and the next pass accepts again.
-    m_tasks.add(m_io.provider->getTimer().afterDelay(sweepInterval).then([this] { acceptNext(); }));
+    // A task for one connection failed; its deadline ends the connection.
 }
 
 } // namespace gypsumhub
--- a/gypsumhub/fleet/transport_loop.h
+++ b/gypsumhub/fleet/transport_loop.h
@@ -74,6 +74,7 @@
     auto acceptNext() -> void;
     auto waitForRequests() -> void;
     auto handleRequests() -> void;
+    auto replacePeers(std::map<node_key, peer_address>) -> void;
     auto scheduleSweep() -> void;
     auto sweep() -> void;
     auto sweepConnections() -> void;
@@ -91,6 +92,10 @@
     std::map<node_key, peer_address> m_peers;
     std::map<node_key, peer_link> m_links;
     std::vector<std::unique_ptr<peer_connection>> m_connections;
+    /// Connections dialed to endpoints whose nodes were not known.
+    std::map<endpoint, peer_connection*> m_seedConnections;
+    /// Whether accepting failed and is to be tried again.
+    bool m_acceptPaused { false };
     kj::Own<kj::ConnectionReceiver> m_receiver;
     kj::Own<kj::PromiseFulfiller<void>> m_stopped;
     kj::TaskSet m_tasks;
--- a/performance_test/measure_peer_frames.cpp
+++ b/performance_test/measure_peer_frames.cpp
@@ -22,26 +22,26 @@
         {
         }
 
-        kj::Promise<size_t> tryRead(void* buffer, size_t minBytes, size_t maxBytes) override
+        auto tryRead(void* buffer, size_t minBytes, size_t maxBytes) -> kj::Promise<size_t> override
         {
             return m_inner->tryRead(buffer, minBytes, maxBytes).then([this](size_t amount) {
                 m_bytes += amount;
                 return amount;
             });
         }
-        kj::Promise<void> write(const void* buffer, size_t size) override
+        auto write(const void* buffer, size_t size) -> kj::Promise<void> override
         {
             m_bytes += size;
             return m_inner->write(buffer, size);
         }
-        kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override
+        auto write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) -> kj::Promise<void> override
         {
             for (auto piece : pieces)
                 m_bytes += piece.size();
             return m_inner->write(pieces);
         }
-        kj::Promise<void> whenWriteDisconnected() override { return m_inner->whenWriteDisconnected(); }
-        void shutdownWrite() override { m_inner->shutdownWrite(); }
+        auto whenWriteDisconnected() -> kj::Promise<void> override { return m_inner->whenWriteDisconnected(); }
+        auto shutdownWrite() -> void override { m_inner->shutdownWrite(); }
 
     private:
         kj::Own<kj::AsyncIoStream> m_inner;
--- a/unit_tests/fleet/configuration_spreader_test.cpp
+++ b/unit_tests/fleet/configuration_spreader_test.cpp
@@ -95,6 +95,18 @@
     CHECK(fleet.countAt(fleet.firstRevision) == 40);
 }
 
+TEST_CASE("a node without seeds turns to the store at once")
+{
+    auto wanted = fake_network_fleet::settings {};
+    wanted.startsConfigured = false;
+    wanted.dataCentres = 1;
+    wanted.perDataCentre = 1;
+    wanted.spreader.hasSeeds = false;
+    auto fleet = fake_network_fleet(wanted);
+    fleet.network.runFor(milliseconds(300));
+    CHECK(fleet.ends[{ 1 }]->node.isReady());
+}
+
 TEST_CASE("a cold fleet does not turn to the store as a herd")
 {
     auto wanted = fake_network_fleet::settings {};
--- a/unit_tests/fleet/peer_transport_concurrent_test.cpp
+++ b/unit_tests/fleet/peer_transport_concurrent_test.cpp
@@ -141,6 +141,23 @@
     CHECK(std::get<digest_message>(starting.listener.waitForMessages(1).front().second).revision.number == 3);
 }
 
+TEST_CASE("a node taken out of the register loses its connection")
+{
+    auto a = test_node(1, { sharedKey });
+    auto b = test_node(2, { sharedKey });
+    a.transport->setPeers({ { b.key, b.address() } });
+    b.transport->setPeers({ { a.key, a.address() } });
+    b.transport->send(a.key, ping_message { 1, 1, {} });
+    a.listener.waitForMessages(1);
+    a.transport->setPeers({ { { 9 }, b.address() } });
+    // What b sends now is refused, whether over the old connection or a new one.
+    while (a.transport->counts().refusedUnauthenticated == 0) {
+        b.transport->send(a.key, ping_message { 2, 1, {} });
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CHECK(a.transport->counts().refusedUnauthenticated > 0);
+}
+
 TEST_CASE("messages reach a peer that starts after them within the time that queues keep them")
 {
     auto a = test_node(1, { sharedKey });
