--- a/gypsumhub/config/config_revision.cpp
+++ b/gypsumhub/config/config_revision.cpp
@@ -18,6 +18,8 @@
     constexpr auto mostMeanChunkBytes = size_t { 256 * 1024 };
     constexpr auto maxChunkCount = size_t { 4096 };
     constexpr auto tagDigits = size_t { 16 };
+    /// Chunks whose callers are read in one go.
+    constexpr auto callerBatchChunks = size_t { 32 };
 
     /// Keeps the parent's count while the mean chunk stays within bounds, so that most changes touch one chunk.
     auto chooseChunkCount(size_t parentCount, size_t totalBytes) -> size_t
@@ -96,6 +98,26 @@
         return revision;
     }
 
+    auto isCaller(std::string_view key) -> bool
+    {
+        return key.starts_with("register/caller ");
+    }
+
+    template <typename Wanted>
+    auto putEntries(std::span<const std::shared_ptr<const std::string>> chunks, Wanted isWanted, configuration_builder& builder) -> leaf::result<void>
+    {
+        for (auto& chunk : chunks) {
+            BOOST_LEAF_AUTO(entries, decodeChunk(*chunk));
+            for (auto& entry : entries) {
+                if (!isWanted(entry.key))
+                    continue;
+                BOOST_LEAF_AUTO(located, toSection(entry));
+                builder.put(located.document, std::move(located.section), entry.key);
+            }
+        }
+        return {};
+    }
+
     auto contentMismatch(const revision_id& id) -> leaf::error_id
     {
         return failWith({ result_code::ConfigurationInvalid, "the content of revision " + std::to_string(id.number) + " does not have the hash that its header names" });
@@ -184,15 +206,20 @@
 
 auto buildConfiguration(const config_revision& revision) -> leaf::result<std::shared_ptr<const configuration>>
 {
+    // Callers are by far the most; taken a few chunks at a time, their sections need not all be in memory at once.
     auto builder = configuration_builder();
-    for (auto& chunk : revision.chunks) {
-        BOOST_LEAF_AUTO(entries, decodeChunk(*chunk));
-        for (auto& entry : entries) {
-            BOOST_LEAF_AUTO(located, toSection(entry));
-            builder.put(located.document, std::move(located.section), entry.key);
-        }
+    BOOST_LEAF_CHECK(putEntries(
+        revision.chunks, [](auto& key) { return !isCaller(key); }, builder));
+    BOOST_LEAF_AUTO(config, builder.build(revision.id));
+    auto chunks = std::span(revision.chunks);
+    while (!chunks.empty()) {
+        auto batch = chunks.first(std::min(callerBatchChunks, chunks.size()));
+        auto next = configuration_builder(std::move(config));
+        BOOST_LEAF_CHECK(putEntries(batch, isCaller, next));
+        BOOST_LEAF_ASSIGN(config, next.build(revision.id));
+        chunks = chunks.subspan(batch.size());
     }
-    return builder.build(revision.id);
+    return config;
 }
 
 auto updateConfiguration(std::shared_ptr<const configuration> previous, const revision_id& id, std::span<const entry_change> changes) -> leaf::result<std::shared_ptr<const configuration>>
--- a/gypsumhub/config/configuration_builder.cpp
+++ b/gypsumhub/config/configuration_builder.cpp
@@ -90,7 +90,7 @@
         return {};
     };
     // Faults of single sections come first: a section that was left out would be reported as missing too.
-    if (m_faults.faults.empty())
+    if (m_faults.faults.empty() && needsWholeCheck())
         checkConfiguration(*m_next, findOrigin, m_faults);
     if (m_faults.faults.empty())
         return std::shared_ptr<const configuration>(std::move(m_next));
@@ -98,6 +98,16 @@
     return leaf::new_error(std::move(m_faults));
 }
 
+auto configuration_builder::needsWholeCheck() const -> bool
+{
+    // Callers, rules and new routes refer to nothing that their own check has not seen, and nothing refers to them.
+    auto isLeaf = [](auto& entry) {
+        auto& kind = entry.section.kind;
+        return entry.document == config_document::Rules || kind == "caller" || kind == "route";
+    };
+    return !std::ranges::all_of(m_changes, isLeaf);
+}
+
 auto configuration_builder::applyChanges() -> void
 {
     // Group by kind first, since the files may name things before they are declared.
--- a/gypsumhub/config/configuration_builder.h
+++ b/gypsumhub/config/configuration_builder.h
@@ -43,6 +43,8 @@
 
     static const std::vector<section_kind> sectionKinds;
 
+    /// Whether the changes can break what only the whole configuration shows.
+    auto needsWholeCheck() const -> bool;
     auto applyChanges() -> void;
     auto putDataCentre(const change&) -> void;
     auto putService(const change&) -> void;
