--- a/fakes/schedule_run.cpp
+++ b/fakes/schedule_run.cpp
@@ -1,7 +1,5 @@
 #include "fakes/schedule_run.h"
 
-#include "fakes/naive_fleet.h"
-#include "fakes/schedule_core_router.h"
 #include "fakes/schedule_state.h"
 #include "fakes/target_model.h"
 #include "gypsumhub/decision/event.h"
@@ -133,10 +131,9 @@
         auto scheduleFault(size_t index) -> void
         {
             auto& fault = m_plan.faults[index];
-            auto everywhere = fault.kind == fault_kind::WholeServiceSlow;
-            auto forEach = [this, &fault, everywhere](const auto& change) {
+            auto forEach = [this, &fault](const auto& change) {
                 for (auto target = size_t { 0 }; target < m_plan.targets; ++target) {
-                    if (everywhere || target == fault.target)
+                    if (fault.kind == fault_kind::WholeServiceSlow || target == fault.target)
                         change(m_faultsNow[target]);
                 }
             };
@@ -199,7 +196,11 @@
 
         auto dispatch(const request_ptr& request) -> void
         {
-            auto choice = m_router.choose(request->node, request->tried, request->idempotent);
+            // Newcomers do not overtake those who wait, and a queue is a sign that slots are not idle.
+            auto mayTry = m_naive || m_nodes[request->node].queue.size() == 0;
+            auto choice = std::optional<routed_choice> {};
+            if (mayTry)
+                choice = m_router.choose(request->node, request->tried, request->idempotent, mayBorrow(request->node));
             if (choice)
                 send(request, std::move(*choice));
             else if (m_naive)
@@ -208,11 +209,14 @@
                 waitForSlot(request);
         }
 
+        auto mayBorrow(size_t node) const -> bool { return m_nodes[node].budget.borrowing().isOpen(m_now); }
+        auto queueSlots(size_t node) const -> uint32_t { return std::max(m_router.slots(node), 1u); }
+
         auto waitForSlot(const request_ptr& request) -> void
         {
             auto& node = m_nodes[request->node];
             auto id = node.nextWaiter++;
-            auto code = node.queue.admit(id, request->deadline, m_now, m_router.slots(request->node));
+            auto code = node.queue.admit(id, request->deadline, m_now, queueSlots(request->node));
             if (code == result_code::Ok)
                 node.waiting[id] = request;
             else
@@ -225,7 +229,7 @@
             auto expired = std::vector<uint64_t> {};
             node.queue.expire(m_now, expired);
             while (node.queue.size() > 0) {
-                auto choice = m_router.choose(index, {}, false);
+                auto choice = m_router.choose(index, {}, false, m_router.slots(index) == 0 && mayBorrow(index));
                 if (!choice)
                     break;
                 auto id = node.queue.next(m_now, expired);
@@ -382,16 +386,4 @@
     return schedule_runner(plan, router, policy).run();
 }
 
-auto runProduct(const schedule& plan) -> schedule_figures
-{
-    auto router = schedule_core_router(plan);
-    return runSchedule(plan, router, request_policy::Product);
-}
-
-auto runNaive(const schedule& plan) -> schedule_figures
-{
-    auto router = naive_fleet(plan);
-    return runSchedule(plan, router, request_policy::Naive);
-}
-
 } // namespace gypsumhub
