--- a/gypsumhub/decision/controllers/evidence_controller.cpp
+++ b/gypsumhub/decision/controllers/evidence_controller.cpp
@@ -65,7 +65,7 @@
 auto evidence_controller::answerAccusation(service_record& service, target_record& target, node_key sender, const evidence& item) -> void
 {
     auto accuses = item.errorScore >= accusingScore && item.failuresInRow > 0;
-    if (!accuses || target.scores.failuresInRow > 0 || target.scores.credit > contradictingCredit || m_board.now < target.nextReplyAt)
+    if (!accuses || target.scores.failuresInRow > 0 || recentCredit(target.scores, m_board.now) > contradictingCredit || m_board.now < target.nextReplyAt)
         return;
     if (!takeBudget(1, 1, false))
         return;
@@ -101,7 +101,7 @@
 {
     auto& scores = target.scores;
     auto item = evidence { service.spec->key, target.key, target.state };
-    item.errorScore = thousandths(scores.errorScore > 0 ? scores.errorScore : scores.credit);
+    item.errorScore = thousandths(scores.errorScore > 0 ? scores.errorScore : recentCredit(scores, m_board.now));
     item.slowScore = thousandths(scores.slowScore);
     item.samples = scores.samples;
     item.failuresInRow = scores.failuresInRow;
--- a/gypsumhub/decision/controllers/health_controller.cpp
+++ b/gypsumhub/decision/controllers/health_controller.cpp
@@ -16,10 +16,12 @@
     constexpr auto askingTime = milliseconds(200);
     /// Factor on the error threshold while a VM starts cold, and on both thresholds during a trial.
     constexpr auto graceFactor = 1.5F;
-    constexpr auto trialFactor = 0.6F;
+    constexpr auto trialFactor = 0.8F;
     /// A service is in trouble when this share of its targets is under suspicion, and no fewer than `troubledTargets`.
     constexpr auto troubledShare = 0.34F;
     constexpr auto troubledTargets = 3U;
+    /// How many times the siblings' mean score is taken off a target's own.
+    constexpr auto sharedDiscount = 3.0F;
     constexpr auto troubleHold = seconds(3);
 
 } // namespace
@@ -45,6 +47,7 @@
     for (auto& target : service.targets)
         m_pooled.push_back(poolEvidence(target, thresholds, m_board.now));
     updateTrouble(service, thresholds);
+    discountShared(service);
     for (auto& target : service.targets)
         judgeTarget(service, target, thresholds);
 }
@@ -71,6 +74,47 @@
     }
 }
 
+auto health_controller::discountShared(const service_record& service) -> void
+{
+    // Sums over the targets in rotation, and the two highest, so that each target's siblings can be averaged without the worst.
+    struct score_sum {
+        float total { 0 };
+        float highest { 0 };
+        float second { 0 };
+
+        auto add(float score) -> void
+        {
+            total += score;
+            second = std::max(second, std::min(highest, score));
+            highest = std::max(highest, score);
+        }
+
+        auto siblingMean(float own, float siblings) const -> float
+        {
+            return (total - own - (own >= highest ? second : highest)) / siblings;
+        }
+    };
+    auto error = score_sum {};
+    auto slow = score_sum {};
+    auto counted = 0.0F;
+    for (auto index = size_t { 0 }; index < service.targets.size(); ++index) {
+        if (!isInRotation(service.targets[index]) || service.targets[index].pathSuspect)
+            continue;
+        error.add(m_pooled[index].error);
+        slow.add(m_pooled[index].slow);
+        ++counted;
+    }
+    if (counted < 4)
+        return;
+    for (auto index = size_t { 0 }; index < service.targets.size(); ++index) {
+        if (!isInRotation(service.targets[index]) || service.targets[index].pathSuspect)
+            continue;
+        auto& pooled = m_pooled[index];
+        pooled.error = std::max(0.0F, pooled.error - sharedDiscount * error.siblingMean(pooled.error, counted - 2));
+        pooled.slow = std::max(0.0F, pooled.slow - sharedDiscount * slow.siblingMean(pooled.slow, counted - 2));
+    }
+}
+
 auto health_controller::endTrouble(service_record& service) -> void
 {
     service.troubled = false;
@@ -127,6 +171,9 @@
 {
     if (service.troubled)
         return false;
+    // A member that is sure is followed, so that the group acts as one.
+    if (pooled.ejectedByPeer && target.state != health_state::Trial && m_board.now >= target.followFrom)
+        return true;
     auto cold = target.graceUntil > m_board.now;
     auto factor = target.state == health_state::Trial ? trialFactor : cold ? graceFactor
                                                                            : 1.0F;
--- a/gypsumhub/decision/controllers/health_controller.h
+++ b/gypsumhub/decision/controllers/health_controller.h
@@ -20,6 +20,7 @@
 
 private:
     auto updateTrouble(service_record&, const detection_thresholds&) -> void;
+    auto discountShared(const service_record&) -> void;
     auto endTrouble(service_record&) -> void;
     auto judgeTarget(service_record&, target_record&, const detection_thresholds&) -> void;
     auto followDeparture(service_record&, target_record&) -> bool;
--- a/gypsumhub/decision/controllers/trial_controller.cpp
+++ b/gypsumhub/decision/controllers/trial_controller.cpp
@@ -16,6 +16,8 @@
     constexpr auto probesForTrial = 3U;
     constexpr auto successesForHealth = 10U;
     constexpr auto shortestTrial = seconds(3);
+    /// Longest time in which a member that has not heard of the trial repeats that the target is ejected.
+    constexpr auto staleEjection = seconds(45);
     constexpr auto trialWeight = uint16_t { 100 };
     constexpr auto fullWeight = uint16_t { 1000 };
     /// The member that probes for the group changes this often, so that one with a broken path cannot keep a target out.
@@ -64,6 +66,7 @@
     std::erase_if(target.opinions, [](auto& opinion) { return opinion.item.state != health_state::Trial; });
     target.trialSuccesses = 0;
     target.trialUntil = m_board.now + shortestTrial;
+    target.followFrom = m_board.now + staleEjection;
     m_board.changeWeight(service, target, trialWeight);
     m_board.changeState(service, target, health_state::Trial, why);
 }
--- a/gypsumhub/decision/controllers/work_controller.cpp
+++ b/gypsumhub/decision/controllers/work_controller.cpp
@@ -17,7 +17,6 @@
     /// Scores stop here, so that a long fault is forgotten in bounded time.
     constexpr auto scoreLimit = 30.0F;
     constexpr auto creditLimit = 4.0F;
-    constexpr auto creditLifetime = seconds(5);
     constexpr auto closeInterval = seconds(1);
     /// Open exchanges of one target that are counted.
     constexpr auto maxOverdue = size_t { 4 };
@@ -57,7 +56,7 @@
     // Declining for load and callers that go away say nothing about health.
     if (report.result == attempt_result::Shed || report.result == attempt_result::Cancelled)
         return;
-    fadeCredit(target->scores);
+    target->scores.credit = recentCredit(target->scores, m_board.now);
     countRecent(target->scores, isFailure(report.result));
     ++target->scores.samples;
     ++service->recentExchanges;
@@ -199,12 +198,4 @@
     scores.recentFailures = recent.failures + (failed ? 1 : 0);
 }
 
-auto work_controller::fadeCredit(work_scores& scores) const -> void
-{
-    // Old successes say nothing about a fault that began since.
-    auto elapsed = m_board.now - scores.lastSampleAt;
-    auto share = 1 - static_cast<float>(elapsed.ns) / static_cast<float>(creditLifetime.ns);
-    scores.credit *= std::clamp(share, 0.0F, 1.0F);
-}
-
 } // namespace gypsumhub
--- a/gypsumhub/decision/controllers/work_controller.h
+++ b/gypsumhub/decision/controllers/work_controller.h
@@ -23,7 +23,6 @@
     auto settleOverdue(work_scores&, time_point startedAt) const -> float;
     auto suspectConnection(target_record&) -> void;
     auto countRecent(work_scores&, bool failed) const -> void;
-    auto fadeCredit(work_scores&) const -> void;
 
     blackboard& m_board;
 };
--- a/gypsumhub/decision/pooled_evidence.cpp
+++ b/gypsumhub/decision/pooled_evidence.cpp
@@ -16,10 +16,10 @@
 
     auto nats(int32_t thousandths) -> float { return static_cast<float>(thousandths) / 1000; }
 
-    auto isTrusted(const target_record& target, const evidence& item) -> bool
+    auto isTrusted(float credit, const evidence& item) -> bool
     {
         // The peer sees only failures and this node sees success: the peer's path is the likelier culprit.
-        return target.scores.credit > contradictingCredit || item.failuresInRow < unbrokenFailures;
+        return credit > contradictingCredit || item.failuresInRow < unbrokenFailures;
     }
 
 } // namespace
@@ -32,6 +32,7 @@
     pooled.slow = own.slowScore;
     // Recent successes count only against what peers say; the own score has taken them in already.
     auto accused = 0.0F;
+    auto credit = recentCredit(own, now);
     for (auto& opinion : target.opinions) {
         auto& item = opinion.item;
         // During a trial, what led to the ejection does not count again.
@@ -39,13 +40,14 @@
             continue;
         if (item.errorScore <= nats(0) && item.failuresInRow == 0 && nats(item.errorScore) <= contradictingCredit)
             pooled.contradicted = true;
-        if (!isTrusted(target, item))
+        if (!isTrusted(credit, item))
             continue;
+        pooled.ejectedByPeer = pooled.ejectedByPeer || (item.state == health_state::Ejected && credit > contradictingCredit);
         accused += nats(item.errorScore);
         pooled.slow += std::max(0.0F, nats(item.slowScore) - chanceScore);
     }
     if (own.errorScore == 0)
-        accused = std::max(0.0F, accused + own.credit);
+        accused = std::max(0.0F, accused + credit);
     pooled.error = std::max(0.0F, pooled.error + accused);
     pooled.contradicted = pooled.contradicted && own.pathLike && own.failuresInRow >= unbrokenFailures;
     return pooled;
--- a/gypsumhub/decision/pooled_evidence.h
+++ b/gypsumhub/decision/pooled_evidence.h
@@ -12,6 +12,8 @@
     float slow { 0 };
     /// Whether a peer that had success lately contradicts a failure that a broken path explains.
     bool contradicted { false };
+    /// Whether a member has ejected the target and nothing seen here speaks against it.
+    bool ejectedByPeer { false };
 };
 
 /// Sums the node's own scores and the valid opinions of peers.
--- a/gypsumhub/decision/target_record.h
+++ b/gypsumhub/decision/target_record.h
@@ -110,6 +110,8 @@
     uint32_t trialSuccesses { 0 };
     /// Until when a trial lasts at least.
     time_point trialUntil { 0 };
+    /// From when on peers are followed again in ejecting the target, after it was put on trial.
+    time_point followFrom { 0 };
 
     /// What the group was told last.
     evidence lastSent;
@@ -132,6 +134,14 @@
     return { scores.recentSamples * share, scores.recentFailures * share };
 }
 
+/// The target's credit, faded to `now`: old successes say nothing about a fault that began since.
+inline auto recentCredit(const work_scores& scores, time_point now) -> float
+{
+    constexpr auto lifetime = seconds(5);
+    auto share = 1 - static_cast<float>((now - scores.lastSampleAt).ns) / static_cast<float>(lifetime.ns);
+    return share < 0 ? 0 : scores.credit * share;
+}
+
 /// Weight of a target that should be out but is kept in by the floor, in thousandths of a full turn.
 constexpr auto convictedWeight = uint16_t { 100 };
 
