--- a/gypsumhub/decision/controllers/evidence_controller.cpp
+++ b/gypsumhub/decision/controllers/evidence_controller.cpp
@@ -18,6 +18,8 @@
     constexpr auto ejectedValidity = seconds(30);
     constexpr auto drainingValidity = seconds(120);
     constexpr auto longestValidity = seconds(120);
+    /// How much earlier than by its own set-aside a member follows another into a trial.
+    constexpr auto trialTolerance = seconds(2);
     constexpr auto replyInterval = seconds(1);
     /// Change of a score that the group is told of, in thousandths of a nat.
     constexpr auto worthTelling = 2000;
@@ -51,12 +53,16 @@
         return;
     auto known = std::ranges::find(target->opinions, sender, &peer_opinion::sender);
     auto& opinion = known != target->opinions.end() ? *known : target->opinions.emplace_back();
+    // A member that ends its trial with another ejection has seen something new.
+    if (opinion.item.state == health_state::Trial && item.state == health_state::Ejected)
+        target->followFrom = m_board.now;
     opinion = { sender, item };
     opinion.item.validUntil = std::min(item.validUntil, m_board.now + longestValidity);
 
     if (item.state == health_state::Leaving)
         target->drainingUntil = std::max(target->drainingUntil, opinion.item.validUntil);
-    if (item.state == health_state::Trial && target->state == health_state::Ejected)
+    auto setAsideEnds = m_board.now + trialTolerance >= target->setAsideUntil;
+    if (item.state == health_state::Trial && target->state == health_state::Ejected && setAsideEnds)
         m_trials.startTrial(*service, *target, "a member of the group put it on trial");
     answerAccusation(*service, *target, sender, item);
     m_board.markChanged(*service);
--- a/gypsumhub/decision/controllers/health_controller.cpp
+++ b/gypsumhub/decision/controllers/health_controller.cpp
@@ -172,7 +172,7 @@
     if (service.troubled)
         return false;
     // A member that is sure is followed, so that the group acts as one.
-    if (pooled.ejectedByPeer && target.state != health_state::Trial && m_board.now >= target.followFrom)
+    if (pooled.ejectedByPeer && m_board.now >= target.followFrom)
         return true;
     auto cold = target.graceUntil > m_board.now;
     auto factor = target.state == health_state::Trial ? trialFactor : cold ? graceFactor
--- a/gypsumhub/decision/controllers/slot_controller.cpp
+++ b/gypsumhub/decision/controllers/slot_controller.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <cassert>
+#include <map>
+#include <string_view>
 #include <tuple>
 
 namespace gypsumhub {
@@ -22,16 +24,60 @@
         uint64_t rank { 0 };
     };
 
-    /// Gives every member the same number of slots, and one more to the first in rendezvous order when there is a remainder.
-    auto makeHolders(const service_record& service, uint32_t slots) -> std::vector<slot_holder>
+    /// What one region has to divide.
+    struct region_share {
+        uint32_t slots { 0 };
+        uint32_t members { 0 };
+    };
+
+    using region_shares = std::map<std::string_view, region_share>;
+
+    auto regionOf(const configuration& config, std::string_view dataCentre) -> std::string_view
+    {
+        auto found = config.dataCentres.find(dataCentre);
+        return found != config.dataCentres.end() ? std::string_view(found->second.region) : std::string_view {};
+    }
+
+    auto countRegions(const configuration& config, const service_record& service) -> region_shares
+    {
+        auto regions = region_shares {};
+        for (auto& target : service.targets) {
+            if (target.listed != list_status::Gone)
+                regions[regionOf(config, target.dataCentre)].slots += target.slots;
+        }
+        for (auto& member : service.group)
+            ++regions[regionOf(config, member.dataCentre)].members;
+        // Where a region has only targets or only members, slots must cross, and all regions are divided as one.
+        auto lopsided = std::ranges::any_of(regions, [](auto& entry) { return entry.second.slots == 0 || entry.second.members == 0; });
+        if (!lopsided)
+            return regions;
+        auto whole = region_share {};
+        for (auto& [name, share] : regions) {
+            whole.slots += share.slots;
+            whole.members += share.members;
+        }
+        for (auto& [name, share] : regions)
+            share = whole;
+        return regions;
+    }
+
+    /// Gives the members of a region the same number of slots, and one more to the first in rendezvous order when there is a
+    /// remainder.
+    auto makeHolders(const configuration& config, const service_record& service) -> std::vector<slot_holder>
     {
         auto holders = std::vector<slot_holder> {};
         for (auto& member : service.group)
             holders.push_back({ &member, 0, 0, 0, mixHashes(service.spec->key.value, member.key.value) });
         std::ranges::sort(holders, std::greater {}, &slot_holder::rank);
-        auto members = static_cast<uint32_t>(holders.size());
-        for (auto position = uint32_t { 0 }; position < members; ++position)
-            holders[position].quota = slots / members + (position < slots % members ? 1 : 0);
+        auto regions = countRegions(config, service);
+        auto lopsided = regions.size() > 1 && regions.begin()->second.members == holders.size();
+        auto placed = std::map<std::string_view, uint32_t> {};
+        for (auto& holder : holders) {
+            auto region = regionOf(config, holder.member->dataCentre);
+            auto& share = regions[region];
+            auto position = placed[lopsided ? std::string_view {} : region]++;
+            holder.quota = share.slots / share.members + (position < share.slots % share.members ? 1 : 0);
+        }
         return holders;
     }
 
@@ -62,10 +108,7 @@
             target.slotShare = target.slots;
         return;
     }
-    auto slots = uint32_t { 0 };
-    for (auto& target : service.targets)
-        slots += target.listed == list_status::Gone ? 0 : target.slots;
-    auto holders = makeHolders(service, slots);
+    auto holders = makeHolders(*m_board.config, service);
 
     for (auto& target : service.targets) {
         target.slotShare = 0;
--- a/gypsumhub/decision/latency_baseline.cpp
+++ b/gypsumhub/decision/latency_baseline.cpp
@@ -20,8 +20,8 @@
     constexpr auto firstMedianStep = 0.5F;
     constexpr auto likelihoodLimit = 3.0F;
     /// Weight and spread of the shape assumed before anything is known.
-    constexpr auto priorWeight = 20.0F;
-    constexpr auto priorSpread = 0.7F;
+    constexpr auto priorWeight = 80.0F;
+    constexpr auto priorSpread = 0.9F;
     constexpr auto overdueTail = 0.002F;
     /// Late answers assumed before any was seen: one in three takes twice as long.
     constexpr auto priorLate = 3.0F;
