--- a/gypsumhub/decision/controllers/work_controller.cpp
+++ b/gypsumhub/decision/controllers/work_controller.cpp
@@ -21,8 +21,6 @@
     /// Open exchanges of one target that are counted.
     constexpr auto maxOverdue = size_t { 4 };
 
-    /// Slow score from which a target's answers are no measure for its siblings.
-    constexpr auto learningLimit = 2.0F;
     /// Mean slow likelihood of the siblings, below zero, from which slowness counts as shared.
     constexpr auto sharedMargin = 0.25F;
 
@@ -190,9 +188,7 @@
     auto shared = std::max(0.0F, service.slowness.meanWithout(position, -sharedMargin) + sharedMargin);
     service.slowness.add(position, likelihood);
     scores.slowScore = std::clamp(scores.slowScore + likelihood - shared, 0.0F, scoreLimit);
-    // A target that alone looks slow must not pull the measure of its siblings towards itself.
-    if (scores.slowScore < learningLimit || shared > 0 || service.troubled)
-        service.latencies.learn(latency, target.distance, m_board.now);
+    service.latencies.learn(latency, target.distance, m_board.now);
 }
 
 auto work_controller::countRecent(work_scores& scores, bool failed) const -> void
