Fleet wired into the node: membership, spreading by peers, readers of the store, batched evidence

Cause: the thin path let every node watch the store, which at 3,600 nodes would be 3,600 waiting watches. Change: fleet_driver runs fleet_node, verified_configuration and evidence_sender on the control thread and the store_reader on its own; the follower of the thin path is gone.

--- a/gypsumhub/main/node.cpp
+++ b/gypsumhub/main/node.cpp
@@ -1,10 +1,10 @@
 #include "gypsumhub/main/node.h"
 
 #include "gypsumhub/main/node_parts.h"
+#include "gypsumhub/operator/log_event.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <glog/logging.h>
 
 namespace gypsumhub {
 
@@ -47,9 +47,9 @@
     std::signal(SIGPIPE, SIG_IGN);
     self.waitForSignal();
     BOOST_LEAF_CHECK(self.parts.start());
-    LOG(INFO) << R"({"event":"started","node":")" << self.settings.name << R"("})";
+    logEvent(google::GLOG_INFO, "started", { { "node", self.settings.name } });
     self.parts.join();
-    LOG(INFO) << R"({"event":"stopped","node":")" << self.settings.name << R"("})";
+    logEvent(google::GLOG_INFO, "stopped", { { "node", self.settings.name } });
     return {};
 }
 
--- a/gypsumhub/main/node_parts.cpp
+++ b/gypsumhub/main/node_parts.cpp
@@ -3,9 +3,10 @@
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/core/hash.h"
 #include "gypsumhub/main/node_report.h"
+#include "gypsumhub/operator/log_event.h"
 
+#include <algorithm>
 #include <boost/json/serialize.hpp>
-#include <glog/logging.h>
 
 namespace gypsumhub {
 
@@ -50,11 +51,17 @@
         return result;
     }
 
-    auto makeMembershipSettings(const node_settings& settings, time_point startedAt) -> membership_settings
+    auto makeFleetSettings(const node_settings& settings, time_point startedAt) -> fleet_driver_settings
     {
-        auto result = membership_settings { { hashName(settings.name) } };
-        result.incarnation = static_cast<uint64_t>(startedAt.ns);
-        result.seed = mixHashes(result.self.value, result.incarnation);
+        auto result = fleet_driver_settings {};
+        auto self = node_key { hashName(settings.name) };
+        auto seed = mixHashes(self.value, static_cast<uint64_t>(startedAt.ns));
+        result.members.self = self;
+        result.members.incarnation = static_cast<uint64_t>(startedAt.ns);
+        result.members.seed = seed;
+        result.spreader.self = self;
+        result.spreader.seed = seed;
+        result.reader.seed = seed;
         return result;
     }
 
@@ -68,12 +75,6 @@
         return result;
     }
 
-    auto logEvent(std::string_view event, boost::json::object fields) -> void
-    {
-        fields["event"] = event;
-        LOG(INFO) << boost::json::serialize(fields);
-    }
-
 } // namespace
 
 node_parts::node_parts(const node_settings& settings)
@@ -84,7 +85,7 @@
     , m_store(makeStoreSettings(settings))
     , m_decision(makeDecisionSettings(settings, m_startedAt), m_snapshot, makeEffects())
     , m_claims(control, makeClaimSettings(settings, m_startedAt), *this)
-    , m_membership(makeMembershipSettings(settings, m_startedAt), *this, makeMembershipEffects())
+    , m_fleet(makeFleetSettings(settings, m_startedAt), control, m_store, *this, makeFleetEffects())
     , m_probes(control.context(), [this](const attempt_report& report) { m_decision.handle(attempt_event { report }); })
     , m_proxy(makeProxySettings(settings, m_startedAt), m_snapshot, m_inbox, m_claims)
     , m_admin({ settings.operatorAddress }, *this)
@@ -98,27 +99,23 @@
 {
     return {
         .startProbe = [this](auto& command) { m_probes.start(command); },
-        .sendEvidence =
-            [this](auto& command) {
-                for (auto receiver : command.receivers)
-                    send(receiver, evidence_message { command.items });
-            },
+        .sendEvidence = [this](auto& command) { m_fleet.sendEvidence(command); },
         .closeIdleConnections = [this](vm_key target) { m_proxy.closeIdleConnections(target); },
         .stateChanged = [this](auto& command) { noteStateChange(command); },
     };
 }
 
-auto node_parts::makeMembershipEffects() -> membership_effects
+auto node_parts::makeFleetEffects() -> fleet_effects
 {
     return {
-        .aliveChanged = [this](std::vector<node_key> alive) { m_decision.handle(membership_event { std::move(alive) }); },
-        .peerReplaced = [this](node_key peer) { m_decision.handle(peer_lost_event { peer }); },
+        .decide = [this](auto& event) { m_decision.handle(event); },
+        .configured = [this](std::shared_ptr<const configuration> next) { applyConfiguration(std::move(next)); },
     };
 }
 
 auto node_parts::wireTimers() -> void
 {
-    control.repeat(tickInterval, [this] { m_membership.tick(); });
+    control.repeat(tickInterval, [this] { m_fleet.tick(); });
     control.repeat(drainInterval, [this] { drainAttempts(); });
     control.repeat(tickInterval, [this] { m_decision.handle(tick_event {}); });
     control.repeat(claim_coordinator::resendInterval, [this] { m_claims.tick(); });
@@ -137,9 +134,7 @@
 auto node_parts::startOutsideWorld() -> void
 {
     m_transport->contactSeeds(m_settings.seedPeers);
-    m_follower.emplace(
-        m_store, [this](std::shared_ptr<const config_revision> next) { control.post([this, next] { applyRevision(next); }); },
-        [](const fault& entry) { LOG(WARNING) << toString(entry); });
+    m_fleet.start();
     if (!m_settings.listAddress.port)
         return;
     auto listSettings = vm_list_poller_settings { m_settings.listAddress };
@@ -153,8 +148,8 @@
 {
     if (m_stopping.exchange(true))
         return;
-    logEvent("stopping", {});
-    m_membership.announceStop();
+    logEvent(google::GLOG_INFO, "stopping", {});
+    m_fleet.announceStop();
     m_claims.handOver();
     m_proxy.beginStop(wallClockNow() + m_settings.stopLimit);
 }
@@ -169,30 +164,14 @@
     m_inbox.drain([this](const attempt_report& report) { m_decision.handle(attempt_event { report }); });
 }
 
-auto node_parts::applyRevision(const std::shared_ptr<const config_revision>& revision) -> void
-{
-    leaf::try_handle_all(
-        [&]() -> leaf::result<void> {
-            BOOST_LEAF_AUTO(next, buildConfiguration(*revision));
-            applyConfiguration(std::move(next));
-            return {};
-        },
-        [](const fault_list& list) {
-            for (auto& entry : list.faults)
-                LOG(ERROR) << toString(entry);
-        },
-        [] { LOG(ERROR) << "the revision cannot be built"; });
-}
-
 auto node_parts::applyConfiguration(std::shared_ptr<const configuration> next) -> void
 {
     auto fields = boost::json::object {};
     fields["revision"] = next->revision.number;
     fields["hash"] = toHex(next->revision.hash);
-    logEvent("configuration-in-force", std::move(fields));
+    logEvent(google::GLOG_INFO, "configuration-in-force", std::move(fields));
     m_transport->setPeers(peerAddresses(*next, m_self));
     m_claims.configure(*next);
-    m_membership.configure(*next);
     m_decision.handle(configuration_event { std::move(next) });
 }
 
@@ -210,25 +189,27 @@
     fields["from"] = toString(command.from);
     fields["to"] = toString(command.to);
     fields["reason"] = command.reason;
-    logEvent("target-state", std::move(fields));
+    logEvent(google::GLOG_INFO, "target-state", std::move(fields));
 }
 
 auto node_parts::onPeerMessage(node_key sender, peer_message message) -> void
 {
     control.post([this, sender, message = std::move(message)] {
+        if (m_fleet.onMessage(sender, message))
+            return;
         auto handle = [&](auto& concrete) {
-            using kind = std::decay_t<decltype(concrete)>;
-            if constexpr (std::is_same_v<kind, evidence_message>)
-                m_decision.handle(evidence_event { sender, concrete.items });
-            else if constexpr (std::is_constructible_v<claim_peer_message, kind>)
+            if constexpr (std::is_constructible_v<claim_peer_message, decltype(concrete)>)
                 m_claims.onMessage(sender, concrete);
-            else if constexpr (requires { m_membership.onMessage(sender, concrete); })
-                m_membership.onMessage(sender, concrete);
         };
         std::visit(handle, message);
     });
 }
 
+auto node_parts::onPeerContact(node_key peer) -> void
+{
+    control.post([this, peer] { m_fleet.onContact(peer); });
+}
+
 auto node_parts::send(node_key receiver, peer_message message) -> void
 {
     if (m_transport)
@@ -237,7 +218,7 @@
 
 auto node_parts::isReady() -> bool
 {
-    return !m_stopping && m_membership.isReady() && m_snapshot.load()->config != nullptr;
+    return !m_stopping && m_fleet.isReady() && m_snapshot.load()->config != nullptr;
 }
 
 auto node_parts::statusJson() -> std::string
--- a/gypsumhub/main/node_parts.h
+++ b/gypsumhub/main/node_parts.h
@@ -7,9 +7,8 @@
 #include "gypsumhub/main/claim_driver.h"
 #include "gypsumhub/main/control_thread.h"
 #include "gypsumhub/main/decision_driver.h"
-#include "gypsumhub/main/membership_driver.h"
+#include "gypsumhub/main/fleet_driver.h"
 #include "gypsumhub/main/probe_runner.h"
-#include "gypsumhub/main/store_follower.h"
 #include "gypsumhub/main/vm_list_poller.h"
 #include "gypsumhub/operator/admin_server.h"
 #include "gypsumhub/platform/etcd_store.h"
@@ -38,16 +37,16 @@
 
 private:
     auto makeEffects() -> decision_effects;
-    auto makeMembershipEffects() -> membership_effects;
+    auto makeFleetEffects() -> fleet_effects;
     auto wireTimers() -> void;
     auto drainAttempts() -> void;
     auto startOutsideWorld() -> void;
-    auto applyRevision(const std::shared_ptr<const config_revision>&) -> void;
     auto applyConfiguration(std::shared_ptr<const configuration>) -> void;
     auto noteStateChange(const state_change_command&) -> void;
 
     // peer_listener, on the transport's thread.
     auto onPeerMessage(node_key sender, peer_message) -> void override;
+    auto onPeerContact(node_key peer) -> void override;
     // peer_sender for the drivers; drops messages until the transport runs.
     auto send(node_key receiver, peer_message) -> void override;
 
@@ -66,13 +65,12 @@
     etcd_store m_store;
     decision_driver m_decision;
     claim_driver m_claims;
-    membership_driver m_membership;
+    fleet_driver m_fleet;
     probe_runner m_probes;
     proxy_server m_proxy;
     admin_server m_admin;
     std::unique_ptr<peer_transport> m_transport;
     std::optional<vm_list_poller> m_listPoller;
-    std::optional<store_follower> m_follower;
     std::atomic<bool> m_stopping { false };
 };
 
