--- a/gypsumhub/config/config_revision.cpp
+++ b/gypsumhub/config/config_revision.cpp
@@ -235,6 +235,17 @@
     return builder.build(id);
 }
 
+auto advanceConfiguration(const revision_in_force& current, const std::shared_ptr<const config_revision>& next) -> leaf::result<revision_in_force>
+{
+    if (!current.config) {
+        BOOST_LEAF_AUTO(whole, buildConfiguration(*next));
+        return revision_in_force { next, std::move(whole) };
+    }
+    BOOST_LEAF_AUTO(changes, diffRevisions(*current.revision, *next));
+    BOOST_LEAF_AUTO(config, updateConfiguration(current.config, next->id, changes));
+    return revision_in_force { next, std::move(config) };
+}
+
 auto diffRevisions(const config_revision& from, const config_revision& to) -> leaf::result<std::vector<entry_change>>
 {
     if (from.chunks.size() != to.chunks.size()) {
--- a/gypsumhub/config/config_revision.h
+++ b/gypsumhub/config/config_revision.h
@@ -64,6 +64,15 @@
 /// The configuration of a revision made by `changes` from `previous`, sharing what did not change.
 auto updateConfiguration(std::shared_ptr<const configuration> previous, const revision_id&, std::span<const entry_change> changes) -> leaf::result<std::shared_ptr<const configuration>>;
 
+/// A revision with its configuration.
+struct revision_in_force {
+    std::shared_ptr<const config_revision> revision;
+    std::shared_ptr<const configuration> config;
+};
+
+/// The configuration of `next`: made from the one in force by the changes alone, or whole when there is none yet.
+auto advanceConfiguration(const revision_in_force&, const std::shared_ptr<const config_revision>& next) -> leaf::result<revision_in_force>;
+
 /// The changes between two revisions; looks only into chunks that differ.
 auto diffRevisions(const config_revision& from, const config_revision& to) -> leaf::result<std::vector<entry_change>>;
 
--- a/gypsumhub/platform/configuration_loader.cpp
+++ b/gypsumhub/platform/configuration_loader.cpp
@@ -5,7 +5,6 @@
 #include "gypsumhub/platform/configuration_keys.h"
 
 #include <algorithm>
-#include <unordered_map>
 #include <utility>
 
 namespace gypsumhub {
@@ -92,21 +91,14 @@
     BOOST_LEAF_AUTO(manifest, decodeManifest(manifestEntry->value));
 
     // Take the chunks that are held already; read the others.
-    auto heldChunks = std::unordered_map<std::string, std::shared_ptr<const std::string>> {};
     for (auto index = size_t { 0 }; held && index < held->chunks.size(); ++index)
-        heldChunks.emplace(toHex(held->manifest.chunks[index].hash), held->chunks[index]);
+        m_readChunks.emplace(held->manifest.chunks[index].hash, held->chunks[index]);
     auto chunks = std::vector<std::shared_ptr<const std::string>> {};
     for (auto& reference : manifest.chunks) {
-        auto found = heldChunks.find(toHex(reference.hash));
-        if (found != heldChunks.end()) {
-            chunks.push_back(found->second);
-            continue;
-        }
-        BOOST_LEAF_AUTO(entry, m_store.get(chunkKey(reference), deadline));
-        if (!entry)
-            return missing(chunkKey(reference));
-        chunks.push_back(std::make_shared<const std::string>(std::move(entry->value)));
+        BOOST_LEAF_AUTO(chunk, readChunk(reference, deadline));
+        chunks.push_back(std::move(chunk));
     }
+    m_readChunks.clear();
     auto recent = std::deque<std::shared_ptr<const revision_record>> {};
     if (held)
         recent = held->recent;
@@ -116,6 +108,19 @@
     return assembleRevision(record, manifestEntry->value, std::move(chunks), std::move(recent));
 }
 
+auto configuration_loader::readChunk(const chunk_reference& reference, time_point deadline) -> leaf::result<std::shared_ptr<const std::string>>
+{
+    auto found = m_readChunks.find(reference.hash);
+    if (found != m_readChunks.end())
+        return found->second;
+    BOOST_LEAF_AUTO(entry, m_store.get(chunkKey(reference), deadline));
+    if (!entry)
+        return missing(chunkKey(reference));
+    auto chunk = std::make_shared<const std::string>(std::move(entry->value));
+    m_readChunks.emplace(reference.hash, chunk);
+    return chunk;
+}
+
 auto configuration_loader::readHistory(const revision_record& newest, uint64_t oldest, time_point deadline) -> leaf::result<std::vector<revision_record>>
 {
     auto records = std::vector<revision_record> {};
--- a/gypsumhub/platform/configuration_loader.h
+++ b/gypsumhub/platform/configuration_loader.h
@@ -3,6 +3,7 @@
 #include "gypsumhub/config/config_revision.h"
 #include "gypsumhub/platform/store.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -33,7 +34,7 @@
     /// The head, or nothing when the store has none.
     auto readHead(time_point deadline) -> leaf::result<std::optional<configuration_head>>;
 
-    /// The whole revision of a record.
+    /// The whole revision of a record. When it fails half-way, the next call goes on with what was read.
     auto loadRecord(const revision_record&, const std::shared_ptr<const config_revision>& held, time_point deadline) -> leaf::result<std::shared_ptr<const config_revision>>;
 
     /// The records before `newest`, newest first, down to number `oldest`, each verified to be the parent of the one after it.
@@ -41,11 +42,14 @@
     auto readHistory(const revision_record& newest, uint64_t oldest, time_point deadline) -> leaf::result<std::vector<revision_record>>;
 
 private:
+    auto readChunk(const chunk_reference&, time_point deadline) -> leaf::result<std::shared_ptr<const std::string>>;
     auto follow(const std::shared_ptr<const config_revision>& held, const store_entry& head, time_point deadline) -> leaf::result<std::shared_ptr<const config_revision>>;
 
     store& m_store;
     /// Store revision of the head when it was last read; where the next watch begins.
     uint64_t m_seenModRevision { 0 };
+    /// Chunks of a load that has not ended, by hash.
+    std::map<content_hash, std::shared_ptr<const std::string>> m_readChunks;
 };
 
 } // namespace gypsumhub
--- a/gypsumhub/platform/configuration_writer.cpp
+++ b/gypsumhub/platform/configuration_writer.cpp
@@ -142,7 +142,7 @@
         BOOST_LEAF_ASSIGN(history, m_loader.readHistory(*current->recent.back(), number, deadline));
     }
     if (history.empty() || history.back().id.number != number)
-        return failWith({ result_code::ConfigurationChunkMissing, "revision " + std::to_string(number) + " is not kept", {}, 0, "`gypsumhub register history` lists what is kept" });
+        return failWith({ result_code::ConfigurationChunkMissing, "revision " + std::to_string(number) + " is not kept", {}, 0, "`gypsumhub history` lists what is kept" });
     return m_loader.loadRecord(history.back(), current, deadline);
 }
 
--- a/gypsumhub/platform/etcd_store.cpp
+++ b/gypsumhub/platform/etcd_store.cpp
@@ -32,6 +32,15 @@
         return failWith({ result_code::StoreProtocolError, "the store answered with status " + std::to_string(reply.status) });
     }
 
+    /// For calls that change nothing: whatever was lost on the way, the answer is simply not there.
+    auto toReadResult(http_reply reply) -> leaf::result<std::string>
+    {
+        auto isLost = reply.progress == http_progress::Sent || (reply.progress == http_progress::Answered && reply.status >= 500);
+        if (isLost)
+            return failWith({ result_code::StoreUnavailable, "the store ended the call without an answer" });
+        return toResult(std::move(reply));
+    }
+
     auto leaseKey(std::string_view name) -> std::string
     {
         return "lease/" + std::string(name);
@@ -90,7 +99,8 @@
     auto lock = std::scoped_lock(m_callMutex);
     BOOST_LEAF_CHECK(takeCall(counter));
     auto request = http_request { boost::beast::http::verb::post, path, body };
-    return toResult(tryEndpoints([&](http_connection& connection) { return connection.exchange(request, deadline); }));
+    auto reply = tryEndpoints([&](http_connection& connection) { return connection.exchange(request, deadline); });
+    return counter == &store_call_counts::gets ? toReadResult(std::move(reply)) : toResult(std::move(reply));
 }
 
 auto etcd_store::get(std::string_view key, time_point deadline) -> leaf::result<std::optional<store_entry>>
@@ -205,8 +215,8 @@
     if (reply.progress == http_progress::TimedOut)
         return std::optional<store_entry> {};
     if (reply.progress == http_progress::Answered && reply.status == httpOk)
-        return failWith({ result_code::StoreReplyLost, "the store ended the watch" });
-    BOOST_LEAF_CHECK(toResult(std::move(reply)));
+        return failWith({ result_code::StoreUnavailable, "the store ended the watch" });
+    BOOST_LEAF_CHECK(toReadResult(std::move(reply)));
     return failWith({ result_code::StoreProtocolError, "the store's watch cannot be read" });
 }
 
--- a/gypsumhub/platform/revision_publisher.cpp
+++ b/gypsumhub/platform/revision_publisher.cpp
@@ -129,7 +129,7 @@
     if (!leavesOutcomeOpen(settled.code()))
         return leaf::new_error(std::move(settled.faults));
     return failWith({ result_code::StoreReplyLost, "it is open whether the change was accepted; its operation id is " + record.header.operationId, {}, 0,
-        "look for the id in `gypsumhub register history` once the store answers" });
+        "look for the id in `gypsumhub history` once the store answers" });
 }
 
 auto revision_publisher::isInHistory(const revision_record& record, time_point deadline) -> leaf::result<bool>
--- a/unit_tests/config/config_revision_test.cpp
+++ b/unit_tests/config/config_revision_test.cpp
@@ -81,8 +81,11 @@
         if (isRemoval)
             change.body.reset();
         auto changes = std::vector { change };
+        auto before = revision;
         revision = makeRevision(revision, changes, sampleOrigin(std::to_string(round))).value();
+        auto advanced = advanceConfiguration({ before, config }, revision).value().config;
         config = updateConfiguration(config, revision->id, changes).value();
+        REQUIRE(isEqual(*advanced, *config));
         REQUIRE(isEqual(*config, *buildConfiguration(*revision).value()));
         REQUIRE(config->revision == revision->id);
     }
--- a/unit_tests/platform/configuration_loader_test.cpp
+++ b/unit_tests/platform/configuration_loader_test.cpp
@@ -145,6 +145,32 @@
     CHECK((codeOf([&] { return configuration_loader(bench.source).load(nullptr, bench.soon()); }) == result_code::ConfigurationChunkMissing));
 }
 
+TEST_CASE("a load that is cut off goes on where it stopped")
+{
+    auto bench = loader_bench();
+    auto big = std::vector<entry_change> {};
+    for (auto index = 100'000; index < 140'000; ++index)
+        big.push_back(callerChange("customer-" + std::to_string(index), 1));
+    bench.publish(makeRevision(bench.newest, big, sampleOrigin("big")).value());
+    REQUIRE(bench.newest->chunks.size() >= 16);
+    bench.source.state().faults.delay = seconds(1);
+    // Ten calls of one second each fit the deadline; the whole needs more.
+    auto loader = configuration_loader(bench.source);
+    auto tries = 0;
+    auto loaded = std::shared_ptr<const config_revision> {};
+    while (!loaded && tries < 10) {
+        ++tries;
+        auto code = codeOf([&]() -> leaf::result<int> {
+            BOOST_LEAF_ASSIGN(loaded, loader.load(nullptr, bench.now + seconds(10)));
+            return 0;
+        });
+        CHECK((loaded || code == result_code::StoreTimeout));
+    }
+    REQUIRE(loaded);
+    CHECK(loaded->id == bench.newest->id);
+    CHECK(tries > 1);
+}
+
 TEST_CASE("an outage and a slow store fail by the deadline and leave what is held")
 {
     auto bench = loader_bench();
