--- a/gypsumhub/fleet/configuration_spreader.cpp
+++ b/gypsumhub/fleet/configuration_spreader.cpp
@@ -12,6 +12,7 @@
     // Every so many digests one goes to another data centre of the region, and one to another region.
     constexpr auto regionDigestPeriod = uint64_t { 3 };
     constexpr auto farDigestPeriod = uint64_t { 6 };
+    constexpr auto maxGreeted = std::size_t { 16 };
     // A peer that failed to deliver is left alone for so long.
     constexpr auto failedPeerPause = seconds(3);
     // A peer whose records do not reach back to ours is left alone for longer, because a whole transfer was in vain.
@@ -36,11 +37,12 @@
 {
     if (!m_started) {
         m_started = true;
-        m_learnUntil = now + m_settings.learnDelay;
-        m_readAlone = m_learnUntil + drawColdReadDelay();
+        m_learnUntil = m_settings.hasSeeds ? now + m_settings.learnDelay : now;
+        m_readAlone = m_settings.hasSeeds ? m_learnUntil + drawColdReadDelay() : now;
         for (auto contact : m_membership.contacts())
-            greet(contact);
+            sendDigest(contact, m_question, 0);
     }
+    refreshReader();
     if (m_download && !m_stalled && m_download->deadline() <= now) {
         m_offers.postpone(m_download->peer(), now + failedPeerPause);
         m_stalled = true;
@@ -48,6 +50,9 @@
     if (!m_download || m_stalled)
         pursue(now);
     m_uploads.serve(m_source, m_sender, now);
+    // Seeds may have had nothing either when they were asked first.
+    if (m_source.current().number == 0 && now >= m_nextGreeting)
+        greetAgain(now);
     if (m_settings.exchangesDigests && now >= m_nextDigest)
         exchangeDigest(now);
 }
@@ -63,9 +68,18 @@
 
 auto configuration_spreader::greet(node_key peer) -> void
 {
+    if (m_source.current().number == 0 && m_greeted.size() < maxGreeted && std::ranges::find(m_greeted, peer) == m_greeted.end())
+        m_greeted.push_back(peer);
     sendDigest(peer, m_question, 0);
 }
 
+auto configuration_spreader::greetAgain(time_point now) -> void
+{
+    m_nextGreeting = now + m_settings.greetInterval;
+    for (auto peer : m_greeted)
+        sendDigest(peer, m_question, 0);
+}
+
 auto configuration_spreader::announce(time_point now) -> void
 {
     m_confirmed = true;
@@ -74,9 +88,8 @@
     if (m_download && m_download->have() != m_source.current())
         m_download.reset();
     // News crosses between regions by the readers alone; everybody else hears it from neighbours.
-    auto relay = isRelay();
     for (auto contact : m_membership.contacts()) {
-        if (relay || distanceTo(contact) != peer_distance::OtherRegion)
+        if (m_isReader || distanceTo(contact) != peer_distance::OtherRegion)
             sendDigest(contact, 0, 0);
     }
     pursue(now);
@@ -88,7 +101,7 @@
     // Another question than before: answers that lay in the sockets during the pause do not count.
     m_question = m_random();
     for (auto contact : m_membership.contacts())
-        greet(contact);
+        sendDigest(contact, m_question, 0);
 }
 
 auto configuration_spreader::handle(node_key sender, const digest_message& message, time_point now) -> void
@@ -116,7 +129,7 @@
 auto configuration_spreader::noteOffer(node_key sender, const revision_id& revision, time_point now) -> void
 {
     auto distance = distanceTo(sender);
-    auto waits = distance == peer_distance::OtherRegion && !isRelay();
+    auto waits = distance == peer_distance::OtherRegion && !m_isReader;
     auto jitter = duration { static_cast<int64_t>(m_random.below(static_cast<uint64_t>(m_settings.farDelay.ns) + 1)) };
     m_offers.add({ sender, revision, distance, waits ? now + m_settings.farDelay + jitter : now });
     if (!m_download)
@@ -249,7 +262,7 @@
     if (m_digestRound % regionDigestPeriod == 0)
         reach = peer_distance::SameRegion;
     // The way between regions is left to the readers.
-    if (m_digestRound % farDigestPeriod == 0 && isRelay())
+    if (m_digestRound % farDigestPeriod == 0 && m_isReader)
         reach = peer_distance::OtherRegion;
     auto usable = [&](const member& entry, bool anywhere) {
         auto key = entry.node.key;
@@ -277,9 +290,13 @@
     return distanceBetween(own->node, other->node);
 }
 
-auto configuration_spreader::isRelay() const -> bool
+auto configuration_spreader::refreshReader() -> void
 {
-    return isStoreReader(m_membership, m_settings.self, m_settings.readersPerDataCentre);
+    // Choosing hashes the whole data centre, so it is done only when somebody came or went.
+    if (m_membership.version() == m_readerVersion)
+        return;
+    m_readerVersion = m_membership.version();
+    m_isReader = isStoreReader(m_membership, m_settings.self, m_settings.readersPerDataCentre);
 }
 
 auto configuration_spreader::isReady() const -> bool
@@ -292,9 +309,10 @@
     if (!m_started || now < m_learnUntil)
         return false;
     if (m_source.current().number != 0)
-        return m_lagsTooFar || isRelay();
+        return m_lagsTooFar || m_isReader;
     // Peers that hold a revision are asked first; the store's head may be older than theirs.
-    return m_offers.empty() && !m_download && now >= m_readAlone;
+    auto peersCanTeach = !m_offers.empty() && !m_stalled;
+    return !peersCanTeach && now >= m_readAlone;
 }
 
 } // namespace gypsumhub
--- /dev/null
+++ b/unit_tests/decision/slot_division_test.cpp
@@ -0,0 +1,67 @@
+#include "unit_tests/decision/core_bench.h"
+
+#include <doctest/doctest.h>
+#include <numeric>
+
+namespace gypsumhub {
+
+namespace {
+
+    /// Sums over all members of each target's shares.
+    struct division {
+        explicit division(const core_bench_settings& settings)
+        {
+            sums.resize(static_cast<size_t>(settings.targets));
+            for (auto node = 0; node < settings.nodes; ++node) {
+                auto own = settings;
+                own.self = node;
+                auto bench = core_bench { own };
+                auto held = uint32_t { 0 };
+                for (auto target = 0; target < settings.targets; ++target) {
+                    sums[static_cast<size_t>(target)] += bench.record(target).slotShare;
+                    held += bench.record(target).slotShare;
+                }
+                perNode.push_back(held);
+            }
+        }
+
+        std::vector<uint32_t> sums;
+        std::vector<uint32_t> perNode;
+    };
+
+} // namespace
+
+TEST_CASE("the members' shares of a target add up to its slots, and members of a region hold equally many")
+{
+    for (auto slots : { uint16_t { 3 }, uint16_t { 4 } }) {
+        for (auto targets : { 1, 8, 18 }) {
+            for (auto nodes : { 1, 3, 12 }) {
+                auto result = division({ .targets = targets, .slots = slots, .nodes = nodes, .dataCentres = 4 });
+                for (auto sum : result.sums)
+                    CHECK(sum == slots);
+                // Regions are divided apart; within one, members hold equally many.
+                for (auto region = size_t { 0 }; region < 2 && nodes == 12 && targets > 1; ++region) {
+                    auto held = std::vector<uint32_t> {};
+                    for (auto node = size_t { 0 }; node < result.perNode.size(); ++node) {
+                        if (node % 4 / 2 == region)
+                            held.push_back(result.perNode[node]);
+                    }
+                    auto [fewest, most] = std::ranges::minmax(held);
+                    CHECK(most - fewest <= 1);
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("no slot crosses to another region as long as both regions have members")
+{
+    auto settings = core_bench_settings { .targets = 18, .nodes = 12, .dataCentres = 4 };
+    for (settings.self = 0; settings.self < settings.nodes; ++settings.self) {
+        auto bench = core_bench { settings };
+        for (auto target = 0; target < settings.targets; ++target)
+            CHECK((bench.record(target).slotShare == 0 || bench.record(target).distance < 2));
+    }
+}
+
+} // namespace gypsumhub
