--- a/fakes/fake_target.cpp
+++ b/fakes/fake_target.cpp
@@ -220,7 +220,13 @@
     auto serializer = http::response_serializer<http::string_body>(response);
     co_await http::async_write_header(opened.socket, serializer, useTask);
     auto half = fault == fake_fault::Cut ? whole.size() / 2 : 0;
-    co_await asio::async_write(opened.socket, asio::buffer(whole.data(), half), useTask);
+    auto part = asio::const_buffer(whole.data(), half);
+    if (response.chunked()) {
+        auto chunk = http::make_chunk(part);
+        co_await asio::async_write(opened.socket, chunk, useTask);
+    } else {
+        co_await asio::async_write(opened.socket, part, useTask);
+    }
     if (fault == fake_fault::Hang)
         co_await waitServiceTime(opened, fake_fault::Silent);
     co_return false;
--- /dev/null
+++ b/fakes/load_caller.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "fakes/load_report.h"
+#include "gypsumhub/config/configuration.h"
+#include "gypsumhub/core/random_generator.h"
+#include "gypsumhub/proxy/asio_types.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace gypsumhub {
+
+/// Callers of one service: they ask the nodes for addresses, keep the answer until its deadline, send a mixed load, send again
+/// what was not run or is unknown, and check what they get. Runs for a fixed time on the calling thread.
+class load_caller {
+public:
+    struct settings {
+        /// Nodes to ask for addresses, tried in order.
+        std::vector<endpoint> nodes;
+        /// Fake targets whose counts are read at the end; empty for none.
+        std::vector<endpoint> targets;
+        std::string service;
+        /// Prefix of the paths that are asked for.
+        std::string path { "/" };
+        uint32_t requestsPerSecond { 100 };
+        uint32_t seconds { 5 };
+        /// Share of POST requests with an idempotency key.
+        uint32_t nonIdempotentPercent { 30 };
+        uint32_t deadlineMs { 2000 };
+        /// Times that one request is sent at most.
+        uint32_t maxAttempts { 3 };
+        uint64_t seed { 1 };
+    };
+
+    explicit load_caller(settings);
+
+    /// Sends the load, reads the targets' counts and returns what happened.
+    auto run() -> load_report;
+
+private:
+    struct connection;
+    struct exchange_end;
+    using connection_ptr = std::shared_ptr<connection>;
+    using response_type = http::response<http::string_body>;
+
+    auto schedule() -> task<>;
+    auto sendOne(uint64_t number) -> task<>;
+    auto attempt(request_record&, bool nonIdempotent, uint32_t number) -> task<>;
+    auto exchange(const endpoint&, const http::request<http::string_body>&, time_point deadline) -> task<exchange_end>;
+    auto connect(const endpoint&) -> task<connection_ptr>;
+    auto refreshNodes() -> task<>;
+    auto checkAnswer(request_record&, const std::string& id, const response_type&) -> void;
+    auto readCounts() -> task<>;
+
+    settings m_settings;
+    asio::io_context m_ioContext { 1 };
+    random_generator m_random;
+    std::string m_prefix;
+    std::vector<endpoint> m_addresses;
+    time_point m_addressesUntil;
+    std::map<endpoint, std::vector<connection_ptr>> m_idle;
+    load_report m_report;
+};
+
+} // namespace gypsumhub
--- a/gypsumhub/proxy/caller_request.h
+++ b/gypsumhub/proxy/caller_request.h
@@ -4,6 +4,7 @@
 #include "gypsumhub/core/result_code.h"
 #include "gypsumhub/core/time_point.h"
 #include "gypsumhub/proxy/request_reader.h"
+#include "gypsumhub/proxy/request_span.h"
 
 #include <cstdint>
 #include <string>
@@ -22,8 +23,10 @@
     uint32_t attempt { 0 };
     /// Whether another node passed the request on; it must not be passed on again.
     bool hopped { false };
-    /// W3C trace context to send on, or empty.
+    /// W3C trace context as received, or empty.
     std::string traceparent;
+    /// The span of the whole request; off unless the server traces.
+    request_span span {};
 };
 
 /// Reads the product's fields of `request.message` into the other members. `Ok`, `DeadlineInvalid` or `MalformedRequest`.
--- a/gypsumhub/proxy/caller_session.cpp
+++ b/gypsumhub/proxy/caller_session.cpp
@@ -167,6 +167,8 @@
     m_cancellation = {};
     auto code = readProductFields(request, m_thread.random);
     m_requestId = request.id;
+    request.span = request_span::start(m_context.tracer.get(), "caller", request.traceparent);
+    request.span.tag("requestId", request.id);
     auto answer = caller_answer {};
     if (code != result_code::Ok) {
         answer = makeRefusal(code, request.id);
@@ -178,6 +180,7 @@
     auto spent = steadyClockNow() - startedAt;
     m_context.counters.requestMicroseconds.fetch_add(static_cast<uint64_t>(spent.ns / 1000), std::memory_order_relaxed);
     m_context.counters.countResult(answer.code);
+    request.span.tag("result", static_cast<uint64_t>(answer.code));
     if (answer.cut) {
         increment(m_context.counters.streamedAnswersCut);
         closeVisibly();
--- a/gypsumhub/proxy/message_fields.cpp
+++ b/gypsumhub/proxy/message_fields.cpp
@@ -66,11 +66,25 @@
     // `Connection` could have named the key; it must reach the target whatever the caller wrote there.
     if (!request.idempotencyKey.empty())
         head.set(header_names::idempotencyKey, request.idempotencyKey);
-    if (!request.traceparent.empty())
-        head.set(header_names::traceparent, request.traceparent);
     if (hop)
         head.set(header_names::hop, "1");
     return head;
 }
 
+auto setTraceparent(http::fields& fields, const request_span& span, const caller_request& request) -> void
+{
+    auto own = span.traceparent();
+    auto& sent = own.empty() ? request.traceparent : own;
+    if (!sent.empty())
+        fields.set(header_names::traceparent, sent);
+}
+
+auto formatAddress(const endpoint& address) -> std::string
+{
+    // IPv6 numbers contain colons themselves.
+    auto isV6 = address.address.find(':') != std::string::npos;
+    auto host = isV6 ? "[" + address.address + "]" : address.address;
+    return host + ":" + std::to_string(address.port);
+}
+
 } // namespace gypsumhub
--- a/gypsumhub/proxy/nodes_answer.cpp
+++ b/gypsumhub/proxy/nodes_answer.cpp
@@ -1,6 +1,7 @@
 #include "gypsumhub/proxy/nodes_answer.h"
 
 #include "gypsumhub/core/hash.h"
+#include "gypsumhub/proxy/message_fields.h"
 
 #include <algorithm>
 #include <boost/json/array.hpp>
@@ -13,14 +14,6 @@
 
 namespace {
 
-    auto formatEndpoint(const endpoint& address) -> std::string
-    {
-        // IPv6 numbers contain colons themselves.
-        auto isV6 = address.address.find(':') != std::string::npos;
-        auto host = isV6 ? "[" + address.address + "]" : address.address;
-        return host + ":" + std::to_string(address.port);
-    }
-
     auto orderMembers(std::span<const member_view> group, random_generator& random) -> std::vector<member_view>
     {
         auto members = std::vector<member_view>(group.begin(), group.end());
@@ -58,7 +51,7 @@
             continue;
         if (isSelf)
             raise(context.handedOutUntil, validUntil);
-        addresses.push_back(boost::json::string(formatEndpoint(member.callerAddress)));
+        addresses.push_back(boost::json::string(formatAddress(member.callerAddress)));
     }
     if (addresses.empty())
         return makeRefusal(stopping ? result_code::NodeStopping : result_code::NodeNotReady, request.id);
--- a/gypsumhub/proxy/peer_hop.cpp
+++ b/gypsumhub/proxy/peer_hop.cpp
@@ -85,6 +85,9 @@
         end.next = m_state.refuse(result_code::PeerUnreachable);
         co_return end;
     }
+    auto span = m_request.span.startChild("peer hop");
+    span.tag("peer", formatAddress(member.callerAddress));
+    setTraceparent(m_head, span, m_request);
     auto query = connection_query { member.key.value, member.callerAddress, connectionsPerMember, !m_state.idempotent(), false, m_request.deadline };
     auto opened = co_await openConnection(m_thread, query, m_cancellation);
     if (!opened.connection) {
--- a/gypsumhub/proxy/proxy_context.h
+++ b/gypsumhub/proxy/proxy_context.h
@@ -7,9 +7,11 @@
 #include "gypsumhub/proxy/proxy_counters.h"
 #include "gypsumhub/proxy/proxy_server_settings.h"
 #include "gypsumhub/proxy/service_totals.h"
+#include "gypsumhub/proxy/span_tracer.h"
 
 #include <atomic>
 #include <functional>
+#include <memory>
 
 namespace gypsumhub {
 
@@ -20,6 +22,8 @@
     attempt_listener& attempts;
     claim_port& claims;
     proxy_counters& counters;
+    /// Writes a span for each hop; null when spans are off.
+    std::shared_ptr<const span_tracer> tracer;
     /// Whether a planned stop has begun: answers of `GET /v1/nodes` leave this node out.
     std::atomic<bool> stopping { false };
     /// Whether connections shall close as soon as their request is answered.
--- a/gypsumhub/proxy/proxy_server.cpp
+++ b/gypsumhub/proxy/proxy_server.cpp
@@ -30,7 +30,7 @@
 struct proxy_server::implementation {
     implementation(proxy_server_settings given, const rcu_cell<routing_snapshot>& snapshot, attempt_listener& attempts, claim_port& claims)
         : settings(std::move(given))
-        , context { settings, snapshot, attempts, claims, counters }
+        , context { settings, snapshot, attempts, claims, counters, nullptr }
     {
         settings.requestThreads = std::max<uint32_t>(settings.requestThreads, 1);
         for (auto index = uint32_t { 0 }; index < settings.requestThreads; ++index)
@@ -59,6 +59,7 @@
         acceptor.reset();
     }
 
+    auto openSpanLog() -> leaf::result<void>;
     auto listen() -> leaf::result<void>;
     auto acceptLoop() -> task<>;
     auto stopLoop(time_point acceptUntil, time_point stopAt) -> task<>;
@@ -72,6 +73,17 @@
     uint16_t port { 0 };
 };
 
+auto proxy_server::implementation::openSpanLog() -> leaf::result<void>
+{
+    if (settings.spanLog.empty())
+        return {};
+    auto tracer = std::make_shared<span_tracer>(settings.spanLog);
+    if (!tracer->isOpen())
+        return failWith({ result_code::FileUnreadable, "cannot open the span log", settings.spanLog, 0, "name a file that can be written, or leave it empty" });
+    context.tracer = std::move(tracer);
+    return {};
+}
+
 auto proxy_server::implementation::listen() -> leaf::result<void>
 {
     auto error = error_code {};
@@ -155,6 +167,7 @@
 auto proxy_server::start() -> leaf::result<void>
 {
     auto& self = *m_implementation;
+    BOOST_LEAF_CHECK(self.openSpanLog());
     BOOST_LEAF_CHECK(self.listen());
     asio::co_spawn(self.workers.front()->ioContext(), self.acceptLoop(), asio::detached);
     for (auto& worker : self.workers)
--- a/gypsumhub/proxy/request_dispatcher.cpp
+++ b/gypsumhub/proxy/request_dispatcher.cpp
@@ -89,6 +89,7 @@
     while (true) {
         if (!onNewConnection) {
             auto query = slot_query { m_tried, m_state.idempotent(), m_request.deadline };
+            auto waiting = m_request.span.startChild("queue");
             m_grant = co_await m_queue.acquire(query, m_cancellation);
             m_slotSince = steadyClockNow();
             if (m_grant.code != result_code::Ok)
@@ -127,6 +128,9 @@
         end.next = m_state.refuse(result_code::NoTargetAvailable);
         co_return end;
     }
+    auto span = m_request.span.startChild("attempt");
+    span.tag("target", formatAddress(m_grant.target->address));
+    setTraceparent(m_head, span, m_request);
     auto startedAt = m_context.now();
     auto wanted = connectionQuery(onNewConnection);
     auto opened = co_await openConnection(m_thread, wanted, m_cancellation);
@@ -135,6 +139,7 @@
         end.result = isOver ? attempt_result::Cancelled : attempt_result::ConnectFailed;
         if (opened.failed)
             report(attempt_result::ConnectFailed, false, startedAt);
+        span.tag("result", toString(end.result));
         end.next = endAttempt(*attempt, end.result, false);
         co_return end;
     }
@@ -148,6 +153,7 @@
     else
         m_thread.pool.discard(wanted.key, opened.connection);
     end.result = outcome.result;
+    span.tag("result", toString(end.result));
     end.answer = std::move(outcome.answer);
     // A used connection that fell silent is judged like one that was lost: on a new connection to the same target.
     end.next = endAttempt(*attempt, silentConnection ? attempt_result::ConnectionLost : end.result, reused);
--- /dev/null
+++ b/unit_tests/proxy/caller_session_test.cpp
@@ -0,0 +1,147 @@
+#include "unit_tests/proxy/proxy_fixture.h"
+
+#include <boost/json/parse.hpp>
+#include <doctest/doctest.h>
+#include <thread>
+
+namespace gypsumhub {
+
+TEST_CASE("bad input gets a clear refusal and a closed connection")
+{
+    auto fixture = proxy_fixture(1);
+    fixture.start();
+    struct bad_input {
+        const char* bytes;
+        const char* status;
+    };
+    auto inputs = std::vector<bad_input> {
+        { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 400" },
+        { "GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\n folded\r\n\r\n", "HTTP/1.1 400" },
+        { "GET / HTTP/1.1\nHost: a\n\n", "HTTP/1.1 400" },
+        { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 999999999\r\n\r\n", "HTTP/1.1 413" },
+        { "nonsense\r\n\r\n", "HTTP/1.1 400" },
+    };
+    for (auto& input : inputs) {
+        CAPTURE(input.bytes);
+        auto caller = fixture.caller();
+        caller.sendRaw(input.bytes);
+        auto text = caller.readToEnd();
+        CHECK(text.starts_with(input.status));
+        CHECK(text.find("Gypsumhub-Outcome: not-run") != std::string::npos);
+    }
+    CHECK(fixture.targets[0]->received() == 0);
+}
+
+TEST_CASE("a request that does not arrive in time is refused")
+{
+    auto given = proxy_server_settings {};
+    given.requestReadLimit = milliseconds(50);
+    auto fixture = proxy_fixture(1, given);
+    fixture.start();
+    auto caller = fixture.caller();
+    caller.sendRaw("GET / HTTP/1.1\r\nHos");
+    CHECK(caller.readToEnd().starts_with("HTTP/1.1 408"));
+}
+
+TEST_CASE("when all connections are taken, the one that has waited longest makes room")
+{
+    auto given = proxy_server_settings {};
+    given.maxConnections = 4;
+    given.requestThreads = 1;
+    auto fixture = proxy_fixture(1, given);
+    fixture.start();
+    auto slow = std::vector<std::unique_ptr<test_caller>> {};
+    for (auto count = 0; count < 4; ++count) {
+        slow.push_back(std::make_unique<test_caller>(fixture.server->port()));
+        slow.back()->sendRaw("GET / HTTP/1.1\r\n");
+    }
+    CHECK(fixture.caller().ask("GET", "/find").result_int() == 200);
+    CHECK(slow.front()->readToEnd().empty());
+    CHECK(fixture.server->counters().connectionsEvicted.load() >= 1);
+}
+
+TEST_CASE("pipelined requests are answered one after another, each with its own answer")
+{
+    auto fixture = proxy_fixture(2);
+    fixture.start();
+    auto caller = fixture.caller();
+    auto text = std::string {};
+    for (auto number = 0; number < 20; ++number)
+        text += "GET /n" + std::to_string(number) + " HTTP/1.1\r\nHost: a\r\nGypsumhub-Request-Id: id-" + std::to_string(number) + "\r\n\r\n";
+    caller.sendRaw(text);
+    for (auto number = 0; number < 20; ++number) {
+        auto answer = caller.readAnswer();
+        auto body = boost::json::parse(answer.body()).as_object();
+        CHECK(body["path"].as_string() == "/n" + std::to_string(number));
+        CHECK(answer["Gypsumhub-Request-Id"] == "id-" + std::to_string(number));
+    }
+}
+
+TEST_CASE("a caller that announces its body with Expect is told to continue")
+{
+    auto fixture = proxy_fixture(1);
+    fixture.start();
+    auto caller = fixture.caller();
+    caller.sendRaw("PUT /a HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    CHECK(caller.readAnswer().result_int() == 100);
+    caller.sendRaw("hi");
+    CHECK(caller.readAnswer().result_int() == 200);
+}
+
+TEST_CASE("a request for a service that is served elsewhere takes one hop, and never a second one")
+{
+    auto serving = proxy_fixture(1);
+    serving.start();
+    auto passing = proxy_fixture(0);
+    passing.view.servedHere = false;
+    passing.view.group = { { { 77 }, { "127.0.0.1", serving.server->port() }, 0, "dc-a" } };
+    passing.start();
+    auto answer = passing.caller().ask("GET", "/find", "Gypsumhub-Request-Id: hop\r\n");
+    CHECK(answer.result_int() == 200);
+    CHECK(answer["Gypsumhub-Request-Id"] == "hop");
+    CHECK(passing.server->counters().peerHops.load() == 1);
+    auto second = passing.caller().ask("GET", "/find", "Gypsumhub-Hop: 1\r\n");
+    CHECK(second["Gypsumhub-Outcome"] == "not-run");
+    CHECK(passing.server->counters().peerHops.load() == 1);
+
+    serving.targets[0]->setFault(fake_fault::Cut);
+    auto lost = passing.caller().ask("POST", "/book", {}, "x");
+    CHECK(lost["Gypsumhub-Result"] == "305 target-answer-cut");
+    CHECK(serving.targets[0]->executed() == 2);
+
+    serving.server.reset();
+    auto unreachable = passing.caller().ask("POST", "/book", {}, "x");
+    CHECK(unreachable["Gypsumhub-Result"] == "700 peer-unreachable");
+}
+
+TEST_CASE("a planned stop leaves the node's answers, finishes what is in flight and then closes")
+{
+    auto given = proxy_server_settings {};
+    given.answerLifetime = milliseconds(100);
+    given.stopNoticeLimit = milliseconds(50);
+    auto fixture = proxy_fixture(1, given);
+    fixture.view.group.push_back({ { 8 }, { "10.0.0.8", 80 }, 1, "dc-b" });
+    fixture.start();
+    auto asked = fixture.caller().ask("GET", "/v1/nodes?service=desk");
+    CHECK(boost::json::parse(asked.body()).as_object()["addresses"].as_array().size() == 2);
+    fixture.targets[0]->setFault(fake_fault::Silent);
+    auto inFlight = fixture.caller();
+    inFlight.sendRaw("POST /book HTTP/1.1\r\nHost: a\r\nGypsumhub-Deadline: "
+        + std::to_string((wallClockNow() + milliseconds(800)).ns / 1'000'000) + "\r\nContent-Length: 0\r\n\r\n");
+    while (fixture.targets[0]->executed() == 0)
+        std::this_thread::yield();
+    fixture.targets[0]->setFault(fake_fault::None);
+
+    auto stopAt = wallClockNow() + seconds(60);
+    fixture.server->beginStop(stopAt);
+    fixture.server->beginStop(wallClockNow());
+    auto during = fixture.caller().ask("GET", "/v1/nodes?service=desk");
+    CHECK(boost::json::parse(during.body()).as_object()["addresses"].as_array().size() == 1);
+    CHECK(fixture.caller().ask("GET", "/find").result_int() == 200);
+    CHECK(inFlight.readAnswer()["Gypsumhub-Outcome"] == "unknown");
+    fixture.server->join();
+    CHECK(wallClockNow() < stopAt);
+    CHECK_THROWS(fixture.caller());
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/unit_tests/proxy/target_failure_test.cpp
@@ -0,0 +1,178 @@
+#include "unit_tests/proxy/proxy_fixture.h"
+
+#include <boost/json/parse.hpp>
+#include <doctest/doctest.h>
+
+namespace gypsumhub {
+
+namespace {
+
+    constexpr auto shortDeadline = milliseconds(300);
+
+    auto deadlineField(duration left) -> std::string
+    {
+        return "Gypsumhub-Deadline: " + std::to_string((wallClockNow() + left).ns / 1'000'000) + "\r\n";
+    }
+
+    struct failure_case {
+        fake_fault fault;
+        const char* outcome;
+        const char* result;
+        attempt_result reported;
+    };
+
+} // namespace
+
+TEST_CASE("a request that must run at most once is sent once and its outcome is stated honestly")
+{
+    auto cases = std::vector<failure_case> {
+        { fake_fault::Errors, "answered", "0 ok", attempt_result::ErrorAnswer },
+        { fake_fault::Wrong, "unknown", "306 target-answer-mismatched", attempt_result::MismatchedAnswer },
+        { fake_fault::Cut, "unknown", "305 target-answer-cut", attempt_result::CutAnswer },
+        { fake_fault::Silent, "unknown", "304 target-timeout", attempt_result::Silent },
+        { fake_fault::Hang, "unknown", "304 target-timeout", attempt_result::HungAfterHeader },
+    };
+    for (auto& expected : cases) {
+        CAPTURE(expected.result);
+        auto fixture = proxy_fixture(2);
+        fixture.start();
+        for (auto& target : fixture.targets)
+            target->setFault(expected.fault);
+        auto answer = fixture.caller().ask("POST", "/book", deadlineField(shortDeadline), "x");
+        CHECK(answer["Gypsumhub-Outcome"] == expected.outcome);
+        CHECK(answer["Gypsumhub-Result"] == expected.result);
+        CHECK(fixture.targets[0]->executed() + fixture.targets[1]->executed() == 1);
+        CHECK(fixture.listener.count(expected.reported) == 1);
+    }
+}
+
+TEST_CASE("an idempotent request goes to another target when the first one fails")
+{
+    for (auto fault : { fake_fault::Errors, fake_fault::Wrong, fake_fault::Cut, fake_fault::Shed, fake_fault::Drain }) {
+        CAPTURE(static_cast<int>(fault));
+        auto fixture = proxy_fixture(2);
+        fixture.start();
+        fixture.targets[0]->setFault(fault);
+        for (auto round = 0; round < 4; ++round) {
+            auto answer = fixture.caller().ask("GET", "/find");
+            CHECK(answer.result_int() == 200);
+            CHECK(answer["Gypsumhub-Outcome"] == "answered");
+        }
+        CHECK(fixture.targets[1]->executed() >= 4);
+    }
+}
+
+TEST_CASE("when every target declines, the refusal says not run and nothing ran")
+{
+    auto fixture = proxy_fixture(2);
+    fixture.start();
+    for (auto& target : fixture.targets)
+        target->setFault(fake_fault::Shed);
+    auto answer = fixture.caller().ask("POST", "/book", {}, "x");
+    CHECK(answer.result_int() == 503);
+    CHECK(answer["Gypsumhub-Outcome"] == "not-run");
+    CHECK(fixture.targets[0]->executed() + fixture.targets[1]->executed() == 0);
+}
+
+TEST_CASE("a passed deadline and an unreachable target are refused as not run")
+{
+    auto fixture = proxy_fixture(0);
+    // A port that was free a moment ago and that nobody listens on.
+    fixture.addresses.push_back({ "127.0.0.1", std::make_unique<fake_target>(fake_target::settings {})->port() });
+    fixture.start();
+    auto late = fixture.caller().ask("GET", "/find", "Gypsumhub-Deadline: 1000\r\n");
+    CHECK(late["Gypsumhub-Result"] == "200 deadline-before-send");
+    CHECK(late["Gypsumhub-Outcome"] == "not-run");
+    auto unreachable = fixture.caller().ask("POST", "/book", {}, "x");
+    CHECK(unreachable["Gypsumhub-Outcome"] == "not-run");
+    CHECK(fixture.caller().ask("GET", "/find", "Gypsumhub-Deadline: soon\r\n")["Gypsumhub-Result"] == "104 deadline-invalid");
+}
+
+TEST_CASE("a large answer that is cut fails visibly at the caller")
+{
+    auto given = proxy_server_settings {};
+    given.bufferedAnswerBytes = 1000;
+    auto fixture = proxy_fixture(1, given);
+    fixture.start();
+    for (auto path : { "/large?bytes=200000", "/large?bytes=200000&chunked=1" }) {
+        CHECK(fixture.caller().ask("GET", path).body().size() > 200000);
+        fixture.targets[0]->setFault(fake_fault::Cut);
+        CHECK_THROWS(fixture.caller().ask("GET", path));
+        fixture.targets[0]->setFault(fake_fault::None);
+    }
+    CHECK(fixture.server->counters().streamedAnswersCut.load() == 2);
+}
+
+TEST_CASE("a connection that falls silent is replaced for an idempotent request, and said to be an old one")
+{
+    auto fixture = proxy_fixture(1);
+    fixture.view.overdueAfter = milliseconds(20);
+    fixture.start();
+    auto caller = fixture.caller();
+    CHECK(caller.ask("GET", "/find").result_int() == 200);
+    fixture.targets[0]->setFault(fake_fault::DeadConnections);
+    CHECK(caller.ask("GET", "/find").result_int() == 200);
+    CHECK(fixture.listener.count(attempt_result::Overdue) >= 1);
+    auto isOldSilence = [](auto& report) { return report.result == attempt_result::Silent && report.reusedConnection; };
+    CHECK(std::ranges::count_if(fixture.listener.reports(), isOldSilence) == 1);
+}
+
+TEST_CASE("a caller that goes away cancels the work at the target")
+{
+    auto fixture = proxy_fixture(1);
+    fixture.start();
+    fixture.targets[0]->setFault(fake_fault::Silent);
+    {
+        auto caller = fixture.caller();
+        caller.sendRaw("POST /book HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+        while (fixture.targets[0]->executed() == 0)
+            std::this_thread::yield();
+    }
+    while (fixture.targets[0]->cancelled() == 0)
+        std::this_thread::yield();
+    while (fixture.listener.count(attempt_result::Cancelled) == 0)
+        std::this_thread::yield();
+    CHECK(fixture.targets[0]->executed() == 1);
+}
+
+TEST_CASE("a claimed request tells the claim port how it ended, and a kept answer is given again")
+{
+    auto fixture = proxy_fixture(1);
+    fixture.start();
+    auto answer = fixture.caller().ask("POST", "/book", "Idempotency-Key: k\r\n", "x");
+    CHECK(answer.result_int() == 200);
+    REQUIRE(fixture.claims.endsSoFar() == std::vector { claim_end::Answered });
+    REQUIRE(fixture.claims.answers.front());
+    fixture.claims.verdict = { claim_decision::Replay, result_code::Ok, fixture.claims.answers.front() };
+    auto again = fixture.caller().ask("POST", "/book", "Idempotency-Key: k\r\n", "x");
+    CHECK(again.body() == answer.body());
+    CHECK(again["Gypsumhub-Outcome"] == "answered");
+    CHECK(fixture.targets[0]->executed() == 1);
+
+    fixture.claims.verdict = { claim_decision::Refuse, result_code::IdempotencyOutcomeUnknown, nullptr };
+    CHECK(fixture.caller().ask("POST", "/book", "Idempotency-Key: k\r\n", "x")["Gypsumhub-Outcome"] == "unknown");
+    fixture.claims.verdict = { claim_decision::Dispatch, result_code::Ok, nullptr };
+    fixture.targets[0]->setFault(fake_fault::Shed);
+    fixture.caller().ask("POST", "/book", "Idempotency-Key: l\r\n", "x");
+    fixture.targets[0]->setFault(fake_fault::Cut);
+    fixture.caller().ask("POST", "/book", "Idempotency-Key: m\r\n", "x");
+    CHECK(fixture.claims.endsSoFar() == std::vector { claim_end::Answered, claim_end::NotRun, claim_end::Unknown });
+}
+
+TEST_CASE("slots are never oversubscribed: requests wait for one, and the wait is bounded by their deadline")
+{
+    auto fixture = proxy_fixture(1);
+    fixture.slotShare = 1;
+    fixture.start();
+    fixture.targets[0]->setFault(fake_fault::Silent);
+    auto first = fixture.caller();
+    first.sendRaw("POST /book HTTP/1.1\r\nHost: a\r\n" + deadlineField(seconds(2)) + "Content-Length: 0\r\n\r\n");
+    while (fixture.targets[0]->executed() == 0)
+        std::this_thread::yield();
+    auto second = fixture.caller().ask("POST", "/book", deadlineField(shortDeadline));
+    CHECK(second["Gypsumhub-Outcome"] == "not-run");
+    CHECK(fixture.targets[0]->maxInFlight() == 1);
+    CHECK(first.readAnswer()["Gypsumhub-Outcome"] == "unknown");
+}
+
+} // namespace gypsumhub
