--- a/fakes/schedule_run.cpp
+++ b/fakes/schedule_run.cpp
@@ -270,7 +270,9 @@
             }
             after(delayTo(request->node, target), [=, this] {
                 auto sick = isSick(target);
-                auto exchange = m_targets[target].take(m_now, m_faultsNow[target], isPathCut(request->node, target));
+                auto exchange = modelled_exchange { attempt_result::ConnectFailed, m_now };
+                if (connects)
+                    exchange = m_targets[target].take(m_now, m_faultsNow[target], isPathCut(request->node, target));
                 if (exchange.ran)
                     ++request->runs;
                 if (exchange.ran && !request->idempotent && request->runs > 1)
