--- a/gypsumhub/decision/service_record.cpp
+++ b/gypsumhub/decision/service_record.cpp
@@ -38,7 +38,8 @@
     auto samples = 0.0F;
     auto worst = recent_work {};
     for (auto& sibling : targets) {
-        if (&sibling == &target)
+        // Those set aside are known to be sick; they say nothing of the service.
+        if (&sibling == &target || !isInRotation(sibling))
             continue;
         auto work = recentWork(sibling.scores, now);
         failures += work.failures;
