--- a/gypsumhub/main/commands.cpp
+++ b/gypsumhub/main/commands.cpp
@@ -5,6 +5,7 @@
 #include "gypsumhub/operator/admin_client.h"
 #include "gypsumhub/operator/json_log_sink.h"
 #include "gypsumhub/operator/register/register_request.h"
+#include "gypsumhub/operator/replay/replay.h"
 
 #include <charconv>
 #include <cstdlib>
@@ -68,6 +69,11 @@
         return printFromNode("/v1/explain?of=" + arguments.front());
     }
 
+    auto replay(const command_arguments& arguments) -> leaf::result<void>
+    {
+        return runReplay(arguments.front(), std::cout);
+    }
+
     auto authorName() -> std::string
     {
         if (!FLAGS_author.empty())
@@ -125,6 +131,7 @@
         { "rules", "Works on the rules of the services in the store.", documentUsage, 1, 2, storeFlags, rulesCommand },
         { "history", "Lists the latest revisions, newest first.", "[LIMIT] --store=IP:PORT", 0, 1, { "store" }, history },
         { "rollback", "Makes a new revision with the content of an old one.", "NUMBER --store=IP:PORT", 1, 1, storeFlags, rollback },
+        { "replay", "Replays a trace through the decision cores and checks its stated outcomes.", "TRACE", 1, 1, {}, replay },
         { "version", "Prints the program's version.", "", 0, 0, {}, version },
     };
 
