--- a/gypsumhub/operator/register/register_commands.cpp
+++ b/gypsumhub/operator/register/register_commands.cpp
@@ -147,6 +147,15 @@
     });
 }
 
+auto register_commands::bundle() -> leaf::result<std::string>
+{
+    auto loader = configuration_loader(m_store);
+    BOOST_LEAF_AUTO(revision, loader.load(nullptr, deadline()));
+    if (!revision)
+        return failWith({ result_code::ConfigurationChunkMissing, "no configuration is in force yet", {}, 0, "apply a register first" });
+    return encodeBundle(*revision);
+}
+
 auto register_commands::reinstate(const std::string& path) -> leaf::result<std::string>
 {
     return explainOutage<std::string>([&]() -> leaf::result<std::string> {
--- a/gypsumhub/operator/register/register_commands.h
+++ b/gypsumhub/operator/register/register_commands.h
@@ -45,7 +45,9 @@
     auto history(uint32_t limit) -> leaf::result<std::string>;
     /// Makes a new revision with the content of an old one, register and rules.
     auto rollBack(uint64_t number) -> leaf::result<std::string>;
-    /// Puts a revision that a running node gave out as a bundle back into a store that lost it.
+    /// The revision in force, register and rules, as a bundle to keep outside the store.
+    auto bundle() -> leaf::result<std::string>;
+    /// Puts the revision of a bundle back into a store that lost it.
     auto reinstate(const std::string& path) -> leaf::result<std::string>;
 
 private:
--- a/gypsumhub/operator/register/register_request.cpp
+++ b/gypsumhub/operator/register/register_request.cpp
@@ -16,7 +16,7 @@
     constexpr auto defaultHistoryLimit = uint32_t { 20 };
     /// An operator's tool may load the whole configuration chunk by chunk.
     constexpr auto toolBudget = call_budget::settings { 200, 200 };
-    constexpr auto usage = "write show | check FILE | diff FILE | apply FILE [--dry-run] | history [LIMIT] | rollback NUMBER | reinstate FILE";
+    constexpr auto usage = "write show | check FILE | diff FILE | apply FILE [--dry-run] | history [LIMIT] | rollback NUMBER | bundle | reinstate FILE";
 
     auto usageError(std::string message) -> leaf::error_id
     {
@@ -67,6 +67,11 @@
         return commands.rollBack(number);
     }
 
+    auto bundle(register_commands& commands, const register_request&) -> leaf::result<std::string>
+    {
+        return commands.bundle();
+    }
+
     auto reinstate(register_commands& commands, const register_request& request) -> leaf::result<std::string>
     {
         return commands.reinstate(request.words[1]);
@@ -86,6 +91,7 @@
         { "apply", 2, 2, apply },
         { "history", 1, 2, history },
         { "rollback", 2, 2, rollBack },
+        { "bundle", 1, 1, bundle },
         { "reinstate", 2, 2, reinstate },
     });
 
--- a/gypsumhub/operator/register/register_request.h
+++ b/gypsumhub/operator/register/register_request.h
@@ -10,8 +10,8 @@
 
 /// A `gypsumhub register ...` or `gypsumhub rules ...` command line, taken apart.
 struct register_request {
-    /// Behind the command's name: `show`, `check FILE`, `diff FILE`, `apply FILE`, `history [LIMIT]`, `rollback NUMBER`
-    /// or `reinstate FILE`.
+    /// Behind the command's name: `show`, `check FILE`, `diff FILE`, `apply FILE`, `history [LIMIT]`, `rollback NUMBER`,
+    /// `bundle` or `reinstate FILE`.
     std::vector<std::string> words;
     /// With `apply`: only show what would change.
     bool dryRun { false };
--- a/unit_tests/operator/register_commands_test.cpp
+++ b/unit_tests/operator/register_commands_test.cpp
@@ -3,7 +3,6 @@
 #include "fakes/fake_store.h"
 #include "fakes/faults_of.h"
 #include "fakes/sample_documents.h"
-#include "gypsumhub/config/revision_bundle.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -121,13 +120,12 @@
     CHECK(contains(faults[0].message, "no change can be accepted"));
 }
 
-TEST_CASE("a bundle from the fleet is put back into a store that lost it")
+TEST_CASE("a bundle is put back into a store that lost it")
 {
     auto bench = command_bench();
     bench.source.state().snapshot("old");
     bench.runRegister({ "apply", bench.file("new.ini", sampleRegisterText() + "[caller new]\nrequests_per_second = 1\n") }).value();
-    auto verified = configuration_loader(bench.source).load(nullptr, bench.now + seconds(5)).value();
-    auto bundle = encodeBundle(*verified);
+    auto bundle = bench.runRegister({ "bundle" }).value();
     bench.source.state().restore("old");
     CHECK(contains(bench.runRegister({ "reinstate", bench.file("bundle.json", bundle) }).value(), "revision 3"));
     CHECK(contains(bench.runRegister({ "show" }).value(), "[caller new]"));
