Count evidence that is passed on against the budget

Cause: at six services under steady findings a node sent 2,536 B/s of evidence, over the whole budget together with membership (1,078 B/s): what it passes on as a relay was not counted. Change: passing on is paid for by the node's own evidence, which waits and merges.

--- a/gypsumhub/fleet/evidence_sender.cpp
+++ b/gypsumhub/fleet/evidence_sender.cpp
@@ -37,6 +37,7 @@
 
 auto evidence_sender::tick(time_point now) -> void
 {
+    m_now = now;
     std::erase_if(m_batches, [&](auto& entry) { return entry.second.dueAt <= now && trySend(entry.first, entry.second, now); });
 }
 
@@ -46,12 +47,9 @@
     auto bytes = int64_t { 0 };
     for (auto& message : planned)
         bytes += frameBytes + static_cast<int64_t>(entry.items.size()) * itemBytes + static_cast<int64_t>(message.forwardTo.size()) * receiverBytes;
-    // The budget may be used up to the burst ahead of time.
-    auto burst = duration { m_settings.burstBytes * nsPerSecond / m_settings.bytesPerSecond };
-    auto paidUntil = std::max(m_paidUntil, now - burst);
-    if (paidUntil > now)
+    if (m_paidUntil > now)
         return false;
-    m_paidUntil = paidUntil + duration { bytes * nsPerSecond / m_settings.bytesPerSecond };
+    spend(bytes, now);
 
     auto message = evidence_message {};
     for (auto& [target, item] : entry.items)
@@ -66,6 +64,13 @@
     return true;
 }
 
+auto evidence_sender::spend(int64_t bytes, time_point now) -> void
+{
+    // After a quiet time the budget may be used up to the burst ahead.
+    auto burst = duration { m_settings.burstBytes * nsPerSecond / m_settings.bytesPerSecond };
+    m_paidUntil = std::max(m_paidUntil, now - burst) + duration { bytes * nsPerSecond / m_settings.bytesPerSecond };
+}
+
 auto evidence_sender::plan(std::vector<node_key> receivers) -> std::vector<planned_message>
 {
     auto home = dataCentreOf(m_settings.self);
@@ -95,6 +100,8 @@
         // Without a list of its own, so that it is passed on once only.
         m_sender.send(receiver, evidence_message { message.items, origin, {} });
         ++m_counts.forwarded;
+        // Passed on at once, and paid for by this node's own evidence, which can wait.
+        spend(frameBytes + static_cast<int64_t>(message.items.size()) * itemBytes, m_now);
     }
     return { origin, message.items };
 }
--- a/gypsumhub/fleet/evidence_sender.h
+++ b/gypsumhub/fleet/evidence_sender.h
@@ -17,7 +17,8 @@
     node_key self;
     /// Evidence found within this time goes out together.
     duration batchTime { milliseconds(100) };
-    /// Bytes a second for evidence, frames included; beyond it batches wait and their items are replaced by later ones.
+    /// Bytes a second for evidence, frames and what is passed on for others included; beyond it batches wait and their items are
+    /// replaced by later ones.
     int64_t bytesPerSecond { 1500 };
     /// Bytes that may go out at once after a quiet time.
     int64_t burstBytes { 24 * 1024 };
@@ -67,6 +68,7 @@
     };
 
     auto plan(std::vector<node_key> receivers) -> std::vector<planned_message>;
+    auto spend(int64_t bytes, time_point now) -> void;
     auto trySend(const std::vector<node_key>& receivers, const batch&, time_point now) -> bool;
     auto dataCentreOf(node_key) const -> std::optional<uint16_t>;
 
@@ -77,6 +79,8 @@
     evidence_sender_counts m_counts;
     /// The instant up to which the bytes sent have used the budget.
     time_point m_paidUntil {};
+    /// When `tick` was called last.
+    time_point m_now {};
     /// Rotates the relays, so that one that cannot be reached does not shield its data centre for long.
     std::size_t m_rotation { 0 };
 };
--- a/performance_test/measure_fleet.cpp
+++ b/performance_test/measure_fleet.cpp
@@ -2,6 +2,7 @@
 // Usage: measure_fleet [LARGEST]   LARGEST is the size of the largest fleet, 3600 unless given.
 
 #include "fakes/fake_network_fleet.h"
+#include "gypsumhub/fleet/evidence_sender.h"
 
 #include <algorithm>
 #include <array>
@@ -205,6 +206,78 @@
         print("false_deaths_per_node_day_" + std::to_string(nodes), static_cast<double>(deaths) / nodeDays, "1/day", 0);
     }
 
+    /// One node of the evidence measure: a serving node that only passes evidence.
+    class evidence_end final : public fake_network_node, public membership_listener {
+    public:
+        evidence_end(fake_network& network, node_key self, const std::vector<registered_node>& nodes)
+            : view({ self }, network.senderOf(self), *this)
+            , sender({ self }, view, network.senderOf(self))
+        {
+            view.setNodes(nodes, {});
+            network.setNode(self, this);
+        }
+
+        auto onTick(time_point now) -> void override { sender.tick(now); }
+        auto onMessage(node_key from, peer_message message, time_point) -> void override
+        {
+            if (auto* found = std::get_if<evidence_message>(&message))
+                sender.handle(from, *found);
+        }
+        auto onMembershipChange() -> void override { }
+        auto onPeerReplaced(node_key) -> void override { }
+
+        membership view;
+        evidence_sender sender;
+    };
+
+    // A group of three nodes in each of five data centres serves `services`; every node finds something new about one target of
+    // each service every five seconds, which is many times what a day with 63 failures brings.
+    auto measureEvidence(uint32_t services) -> double
+    {
+        auto network = fake_network(services);
+        auto nodes = std::vector<registered_node> {};
+        auto group = std::vector<node_key> {};
+        for (auto key = uint64_t { 1 }; key <= 15; ++key) {
+            auto dataCentre = static_cast<uint16_t>((key - 1) / 3);
+            nodes.push_back({ { key }, dataCentre, static_cast<uint16_t>(dataCentre < 3 ? 0 : 1) });
+            group.push_back({ key });
+        }
+        auto ends = std::vector<std::unique_ptr<evidence_end>> {};
+        for (auto key : group)
+            ends.push_back(std::make_unique<evidence_end>(network, key, nodes));
+        network.runFor(seconds(1));
+        network.measureBytes([&](node_key a, node_key b) { return distanceBetween(nodes[a.value - 1], nodes[b.value - 1]); });
+        constexpr auto length = seconds(300);
+        constexpr auto slots = uint64_t { 50 };
+        auto from = network.now();
+        for (auto step = uint64_t { 0 }; network.now() < from + length; ++step) {
+            for (auto& end : ends) {
+                auto self = static_cast<uint64_t>(&end - ends.data());
+                for (auto service = uint64_t { 1 }; service <= services; ++service) {
+                    // Spread over five seconds, so that findings of different services seldom share a batch.
+                    if ((step + self * 7 + service * 13) % slots != 0)
+                        continue;
+                    auto item = evidence { { service }, { service }, health_state::Demoted, static_cast<int32_t>(step) };
+                    end->sender.add({ group, { item } }, network.now());
+                }
+            }
+            network.runFor(milliseconds(100));
+        }
+        return static_cast<double>(network.meter().totalBytes()) / length.seconds() / static_cast<double>(group.size());
+    }
+
+    auto measureEvidenceAgainstServices() -> void
+    {
+        auto first = 0.0;
+        auto last = 0.0;
+        for (auto services : { 1U, 6U, 24U }) {
+            last = measureEvidence(services);
+            first = services == 1 ? last : first;
+            print("evidence_bytes_per_second_services_" + std::to_string(services), last, "B/s", 3072);
+        }
+        print("evidence_bytes_per_second_slope_services_1_24", (last - first) / 23, "B/s/service", -1);
+    }
+
     auto measureFleet(uint32_t largest) -> void
     {
         auto figures = std::vector<size_figures> {};
@@ -222,6 +295,7 @@
         if (largest >= 400)
             measureDetection(400, 10);
         measureFalseSuspicions(40, minutes(24 * 60));
+        measureEvidenceAgainstServices();
     }
 
 } // namespace
