--- a/fakes/naive_fleet.cpp
+++ b/fakes/naive_fleet.cpp
@@ -60,6 +60,10 @@
 {
 }
 
+auto naive_fleet::listChanged(size_t, bool) -> void
+{
+}
+
 auto naive_fleet::givesWork(size_t node, size_t target) const -> bool
 {
     return m_nodes[node].targets[target].ejectedUntil <= m_environment->now();
--- a/fakes/naive_fleet.h
+++ b/fakes/naive_fleet.h
@@ -15,6 +15,7 @@
     auto choose(size_t node, std::span<const size_t> excluded, bool idempotent, bool mayBorrow) -> std::optional<routed_choice> override;
     auto report(size_t node, size_t target, attempt_report) -> void override;
     auto tick() -> void override;
+    auto listChanged(size_t target, bool live) -> void override;
     auto givesWork(size_t node, size_t target) const -> bool override;
     auto overdueAt(size_t node, time_point sentAt) const -> time_point override;
     auto slots(size_t node) const -> uint32_t override;
--- a/fakes/schedule_core_router.cpp
+++ b/fakes/schedule_core_router.cpp
@@ -117,8 +117,9 @@
     m_environment = &environment;
     auto membership = membership_event { m_nodeKeys };
     std::ranges::sort(membership.alive);
-    auto list = vm_list_event { m_keys, {} };
-    std::ranges::sort(list.live);
+    m_listed = m_keys;
+    std::ranges::sort(m_listed);
+    auto list = vm_list_event { m_listed, {} };
     auto node = size_t { 0 };
     for (auto& [name, spec] : m_config->nodes) {
         auto settings = decision_settings { spec.key, spec.dataCentre, m_random(), static_cast<uint32_t>(m_plan.membersPerDataCentre) };
@@ -156,6 +157,16 @@
         handle(node, tick_event {});
 }
 
+auto schedule_core_router::listChanged(size_t target, bool live) -> void
+{
+    std::erase(m_listed, m_keys[target]);
+    if (live)
+        m_listed.push_back(m_keys[target]);
+    std::ranges::sort(m_listed);
+    for (auto node = size_t { 0 }; node < m_nodes.size(); ++node)
+        handle(node, vm_list_event { m_listed, {} });
+}
+
 auto schedule_core_router::givesWork(size_t node, size_t target) const -> bool
 {
     return m_nodes[node]->givesWork(target);
--- a/fakes/schedule_core_router.h
+++ b/fakes/schedule_core_router.h
@@ -18,6 +18,7 @@
     auto choose(size_t node, std::span<const size_t> excluded, bool idempotent, bool mayBorrow) -> std::optional<routed_choice> override;
     auto report(size_t node, size_t target, attempt_report) -> void override;
     auto tick() -> void override;
+    auto listChanged(size_t target, bool live) -> void override;
     auto givesWork(size_t node, size_t target) const -> bool override;
     auto overdueAt(size_t node, time_point sentAt) const -> time_point override;
     auto slots(size_t node) const -> uint32_t override;
@@ -39,6 +40,8 @@
     std::vector<vm_key> m_keys;
     std::vector<std::pair<vm_key, size_t>> m_indices;
     std::vector<node_key> m_nodeKeys;
+    // The platform's list, in order of key.
+    std::vector<vm_key> m_listed;
     std::vector<std::unique_ptr<node_driver>> m_nodes;
     random_generator m_random;
     schedule_environment* m_environment { nullptr };
--- a/fakes/schedule_router.h
+++ b/fakes/schedule_router.h
@@ -45,6 +45,8 @@
     virtual auto choose(size_t node, std::span<const size_t> excluded, bool idempotent, bool mayBorrow) -> std::optional<routed_choice> = 0;
     virtual auto report(size_t node, size_t target, attempt_report) -> void = 0;
     virtual auto tick() -> void = 0;
+    /// The platform's list drops a target or shows it again.
+    virtual auto listChanged(size_t target, bool live) -> void = 0;
     /// Whether the node gives the target ordinary work.
     virtual auto givesWork(size_t node, size_t target) const -> bool = 0;
     /// When an unanswered attempt counts as overdue, or `never`.
