--- a/fakes/fake_network_fleet.cpp
+++ b/fakes/fake_network_fleet.cpp
@@ -26,7 +26,7 @@
     fleet.network.setNode(m_key, this);
     learnNodes(fleet.network.now());
     // A node without configuration knows some seeds, as its settings would name them.
-    for (auto seed = uint64_t { 1 }; seed <= seedContacts; ++seed)
+    for (auto seed = uint64_t { 1 }; seed <= std::min<uint64_t>(seedContacts, fleet.nodes.size()); ++seed)
         node.handleContact({ seed });
 }
 
