--- a/gypsumhub/config/revision_codec.cpp
+++ b/gypsumhub/config/revision_codec.cpp
@@ -176,8 +176,10 @@
     // Serialized JSON holds no line feed, so one separates the two parts.
     if (isInline)
         bytes += '\n' + delta;
-    auto kept = isInline ? std::optional(std::vector(changes.begin(), changes.end())) : std::nullopt;
-    return { id, std::move(header), std::move(kept), std::move(bytes) };
+    auto record = revision_record { id, std::move(header), {}, std::move(bytes) };
+    if (isInline)
+        record.delta.emplace(changes.begin(), changes.end());
+    return record;
 }
 
 auto decodeRecord(std::string_view bytes) -> leaf::result<revision_record>
