--- a/scripts/local_fleet.py
+++ b/scripts/local_fleet.py
@@ -48,7 +48,7 @@
 class LocalFleet:
     """One register with services on model targets, and nodes in front of them."""
 
-    def __init__(self, nodes, services, data_centres=("ahd-a", "ahd-b"), region="ahd", rules="", slots=4, service_ms=10):
+    def __init__(self, nodes, services, data_centres=("ahd-a", "ahd-b"), region="ahd", rules="", slots=4, service_ms=10, answer_lifetime="15s"):
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="gypsumhub-"))
         self.data_centres = data_centres
         self.region = region
@@ -56,6 +56,7 @@
         self.rules = rules
         self.slots = slots
         self.service_ms = service_ms
+        self.answer_lifetime = answer_lifetime
         self.processes = {}
         self.targets = {}
         self.nodes = {}
@@ -106,6 +107,7 @@
             "[store]", f"addresses = 127.0.0.1:{self.store_port}", "",
             "[list]", f"address = 127.0.0.1:{self.list_port}", "",
             "[peers]", *([f"seeds = {seeds}"] if seeds else []), f"key = {PEER_KEY}", "",
+            "[limits]", f"answer_lifetime = {self.answer_lifetime}", "",
             "[logs]", f"log = {self.directory / name}.log", f"span_log = {self.directory / name}.spans", ""])
         (self.directory / f"{name}.ini").write_text(text)
 
