Settings that nothing honours are faults; operators' page; fleet metrics; newcomers may borrow idle slots

[operator] key and trace_log were read and then ignored: no operator call changes a node, and the server has no recorder yet.

--- a/gypsumhub/config/node_settings.h
+++ b/gypsumhub/config/node_settings.h
@@ -24,8 +24,6 @@
     std::vector<endpoint> seedPeers;
     /// Keys that peers sign with; the first signs, all verify. At least 32 hexadecimal digits each.
     std::vector<std::string> peerKeys;
-    /// Key that operator calls which change anything must carry.
-    std::string operatorKey;
     uint32_t requestThreads { 2 };
     uint32_t maxConnections { 4096 };
     uint32_t maxHeaderBytes { 16 * 1024 };
@@ -40,8 +38,6 @@
     duration stopLimit { seconds(60) };
     /// Path of the span log, or empty for none.
     std::string spanLog;
-    /// Path of the trace recording, or empty for none.
-    std::string traceLog;
     /// Path of the log, or empty for standard error.
     std::string log;
 };
--- a/gypsumhub/config/node_settings_reader.cpp
+++ b/gypsumhub/config/node_settings_reader.cpp
@@ -54,11 +54,6 @@
         }
     }
 
-    auto readOperator(section_reader& reader, node_settings& settings) -> void
-    {
-        settings.operatorKey = reader.text("key").value_or("");
-    }
-
     auto readLimits(section_reader& reader, node_settings& settings) -> void
     {
         settings.requestThreads = reader.number("request_threads", { 1, 256 }, settings.requestThreads);
@@ -75,7 +70,6 @@
     {
         settings.log = reader.text("log").value_or("");
         settings.spanLog = reader.text("span_log").value_or("");
-        settings.traceLog = reader.text("trace_log").value_or("");
     }
 
     struct settings_section {
@@ -89,7 +83,6 @@
         { "store", readStore, false },
         { "list", readList, false },
         { "peers", readPeers, false },
-        { "operator", readOperator, false },
         { "limits", readLimits, false },
         { "logs", readLogs, false },
     });
@@ -105,7 +98,7 @@
             auto row = std::ranges::find(settingsSections, section.kind, &settings_section::kind);
             if (row == settingsSections.end() || !section.name.empty()) {
                 report(faults, document, section.line, "section [" + section.kind + (section.name.empty() ? "" : " " + section.name) + "] is unknown",
-                    "known sections: [node] [store] [list] [peers] [operator] [limits] [logs]");
+                    "known sections: [node] [store] [list] [peers] [limits] [logs]");
                 continue;
             }
             auto reader = section_reader(section, document.file, result_code::SettingsInvalid, faults);
--- a/gypsumhub/main/fleet_driver.cpp
+++ b/gypsumhub/main/fleet_driver.cpp
@@ -89,6 +89,11 @@
     return m_storeReachable.load(std::memory_order_relaxed);
 }
 
+auto fleet_driver::figures() const -> std::vector<fleet_figure>
+{
+    return fleetFigures(m_node, m_config.current(), steadyClockNow());
+}
+
 auto fleet_driver::members() const -> const membership&
 {
     return m_node.members();
--- a/gypsumhub/main/fleet_driver.h
+++ b/gypsumhub/main/fleet_driver.h
@@ -2,6 +2,7 @@
 
 #include "gypsumhub/core/rcu_cell.h"
 #include "gypsumhub/fleet/evidence_sender.h"
+#include "gypsumhub/fleet/fleet_figures.h"
 #include "gypsumhub/fleet/fleet_node.h"
 #include "gypsumhub/fleet/store_reader_thread.h"
 #include "gypsumhub/fleet/verified_configuration.h"
@@ -50,6 +51,8 @@
     auto isReady() const -> bool;
     /// Whether the last call to the store succeeded, or it was not this node's turn to read; any thread may ask.
     auto isStoreReachable() const -> bool;
+    /// For metrics.
+    auto figures() const -> std::vector<fleet_figure>;
     auto members() const -> const membership&;
     auto spreader() const -> const configuration_spreader&;
     auto config() const -> const verified_configuration&;
--- a/gypsumhub/main/node_parts.cpp
+++ b/gypsumhub/main/node_parts.cpp
@@ -61,6 +61,7 @@
         result.members.seed = seed;
         result.spreader.self = self;
         result.spreader.seed = seed;
+        result.spreader.hasSeeds = !settings.seedPeers.empty();
         result.reader.seed = seed;
         return result;
     }
@@ -231,6 +232,7 @@
     status["stopping"] = m_stopping.load();
     status["revision"] = snapshot->config ? snapshot->config->revision.number : 0;
     status["revisionHash"] = snapshot->config ? toHex(snapshot->config->revision.hash) : std::string {};
+    status["storeReachable"] = m_fleet.isStoreReachable();
     status["services"] = servicesJson(*snapshot);
     return boost::json::serialize(status);
 }
@@ -262,6 +264,7 @@
     // Shared, since the work may run after this call has given up.
     auto metrics = std::make_shared<metric_set>();
     auto work = [this, snapshot, metrics]() -> bool {
+        addFleetMetrics(*metrics, m_fleet.figures());
         addDecisionMetrics(*metrics, *snapshot, m_decision);
         return true;
     };
@@ -271,7 +274,9 @@
     metrics->addGauge("ready", "1 when the node is ready.", isReady());
     metrics->addCounter("attempt_reports_dropped_total", "Reports lost because the control thread fell behind.", static_cast<double>(m_inbox.dropped()));
     metrics->addCounter("control_cpu_seconds_total", "Processor time of the control thread.", control.processorTime().seconds());
-    metrics->addCounter("control_bytes_total", "Bytes sent to peers.", static_cast<double>(m_meter.totalBytes()));
+    if (m_transport)
+        addFleetMetrics(*metrics, peerFigures(m_transport->counts(), m_meter));
+    metrics->addCounter("control_bytes_sent_total", "Bytes sent to peers, overhead included.", static_cast<double>(m_meter.totalBytes()));
     return metrics->toText();
 }
 
--- a/gypsumhub/main/node_report.cpp
+++ b/gypsumhub/main/node_report.cpp
@@ -100,6 +100,19 @@
     }
 }
 
+auto addFleetMetrics(metric_set& metrics, std::span<const fleet_figure> figures) -> void
+{
+    for (auto& row : figures) {
+        auto labels = metric_set::labels {};
+        for (auto& [name, text] : row.labels)
+            labels.emplace_back(name, text);
+        if (row.isGauge)
+            metrics.addGauge(row.name, row.help, row.value, labels);
+        else
+            metrics.addCounter(row.name, row.help, row.value, labels);
+    }
+}
+
 auto addDecisionMetrics(metric_set& metrics, const routing_snapshot& snapshot, const decision_driver& driver) -> void
 {
     auto revision = snapshot.config ? snapshot.config->revision.number : 0;
--- a/gypsumhub/main/node_report.h
+++ b/gypsumhub/main/node_report.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "gypsumhub/decision/routing_snapshot.h"
+#include "gypsumhub/fleet/fleet_figures.h"
 #include "gypsumhub/main/decision_driver.h"
 #include "gypsumhub/operator/metric_set.h"
 #include "gypsumhub/proxy/proxy_counters.h"
 
 #include <boost/json/object.hpp>
+#include <span>
 
 namespace gypsumhub {
 
@@ -27,6 +29,9 @@
 /// Metrics of the request path.
 auto addProxyMetrics(metric_set&, const proxy_counters&) -> void;
 
+/// Metrics of membership, configuration and peers.
+auto addFleetMetrics(metric_set&, std::span<const fleet_figure>) -> void;
+
 /// Metrics of the snapshot in force and of the decisions about targets.
 auto addDecisionMetrics(metric_set&, const routing_snapshot&, const decision_driver&) -> void;
 
--- a/gypsumhub/operator/metric_set.cpp
+++ b/gypsumhub/operator/metric_set.cpp
@@ -2,23 +2,22 @@
 
 #include <prometheus/text_serializer.h>
 #include <sstream>
-#include <vector>
 
 namespace gypsumhub {
 
-auto metric_set::addCounter(std::string_view name, std::string_view help, double value, labels names) -> metric_set&
+auto metric_set::addCounter(std::string_view name, std::string_view help, double value, const labels& names) -> metric_set&
 {
     add(prometheus::MetricType::Counter, name, help, value, names);
     return *this;
 }
 
-auto metric_set::addGauge(std::string_view name, std::string_view help, double value, labels names) -> metric_set&
+auto metric_set::addGauge(std::string_view name, std::string_view help, double value, const labels& names) -> metric_set&
 {
     add(prometheus::MetricType::Gauge, name, help, value, names);
     return *this;
 }
 
-auto metric_set::add(prometheus::MetricType type, std::string_view name, std::string_view help, double value, labels names) -> void
+auto metric_set::add(prometheus::MetricType type, std::string_view name, std::string_view help, double value, const labels& names) -> void
 {
     auto fullName = "gypsumhub_" + std::string(name);
     auto& family = m_families[fullName];
--- a/gypsumhub/operator/metric_set.h
+++ b/gypsumhub/operator/metric_set.h
@@ -1,29 +1,29 @@
 #pragma once
 
-#include <initializer_list>
 #include <map>
 #include <prometheus/metric_family.h>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace gypsumhub {
 
 /// Collects samples for one scrape and writes them in Prometheus text format.
 class metric_set {
 public:
-    using labels = std::initializer_list<std::pair<std::string_view, std::string_view>>;
+    using labels = std::vector<std::pair<std::string_view, std::string_view>>;
 
     /// Adds a sample of a value that only grows. `name` is without the `gypsumhub_` prefix.
-    auto addCounter(std::string_view name, std::string_view help, double value, labels = {}) -> metric_set&;
+    auto addCounter(std::string_view name, std::string_view help, double value, const labels& = {}) -> metric_set&;
     /// Adds a sample of a value that may fall.
-    auto addGauge(std::string_view name, std::string_view help, double value, labels = {}) -> metric_set&;
+    auto addGauge(std::string_view name, std::string_view help, double value, const labels& = {}) -> metric_set&;
 
     /// All samples; families in order of name.
     auto toText() const -> std::string;
 
 private:
-    auto add(prometheus::MetricType, std::string_view name, std::string_view help, double value, labels) -> void;
+    auto add(prometheus::MetricType, std::string_view name, std::string_view help, double value, const labels&) -> void;
 
     std::map<std::string, prometheus::MetricFamily, std::less<>> m_families;
 };
--- a/gypsumhub/proxy/slot_queue.cpp
+++ b/gypsumhub/proxy/slot_queue.cpp
@@ -23,22 +23,26 @@
     auto grant = slot_grant {};
     // Newcomers do not overtake: they join the queue when there is one, which is in order of deadline.
     auto mayTry = !hasWaiters();
+    auto isNewcomer = true;
     while (true) {
         grant.code = refreshView(grant, query);
         if (grant.code != result_code::Ok)
             co_return grant;
+        auto slots = totalSlots(*grant.service);
         if (mayTry) {
-            auto asked = target_query { query.excluded, query.idempotent, m_random() };
+            // Only newcomers borrow; those that waited were woken for a slot of this node, unless it has none at all.
+            auto mayBorrow = (isNewcomer || slots == 0) && m_totals.retries.borrowing().isOpen(m_context.now());
+            auto asked = target_query { query.excluded, query.idempotent, m_random(), mayBorrow };
             grant.target = chooseTarget(*grant.service, asked);
             if (grant.target)
                 co_return grant;
         }
-        auto slots = totalSlots(*grant.service);
         m_queue.setLimit(grant.service->spec->rules.queueLimit);
         grant.code = co_await waitForTurn(query, cancellation, slots);
         if (grant.code != result_code::Ok)
             co_return grant;
         mayTry = true;
+        isNewcomer = false;
     }
 }
 
