--- a/performance_test/measure_decisions.cpp
+++ b/performance_test/measure_decisions.cpp
@@ -69,7 +69,8 @@
     // A figure for comparison, without a target of its own.
     auto printPlain(const std::string& name, double value, const char* unit) -> void
     {
-        printLine(name, value, unit, "none", true);
+        std::printf("%s %.4g %s none info\n", name.c_str(), value, unit);
+        std::fflush(stdout);
     }
 
     // Calls `work` for 0 to `count` - 1 on a few threads.
--- a/performance_test/measure_fleet.cpp
+++ b/performance_test/measure_fleet.cpp
@@ -41,7 +41,7 @@
     auto print(const std::string& name, double value, const char* unit, double target) -> void
     {
         if (target < 0)
-            std::printf("%s %.4g %s - -\n", name.c_str(), value, unit);
+            std::printf("%s %.4g %s none info\n", name.c_str(), value, unit);
         else
             std::printf("%s %.4g %s %.4g %s\n", name.c_str(), value, unit, target, value <= target ? "pass" : "fail");
         std::fflush(stdout);
--- a/performance_test/measure_peer_frames.cpp
+++ b/performance_test/measure_peer_frames.cpp
@@ -103,7 +103,7 @@
         auto dialed = peer_connection::dial(dialer, kj::heap<counting_stream>(kj::mv(pipe.ends[1]), bytes), acceptor.self());
         // The empty frame after the hello.
         waitFor(io, dialer.confirmed, 1);
-        std::printf("peer_hello_bytes %llu B - -\n", static_cast<unsigned long long>(bytes));
+        std::printf("peer_hello_bytes %llu B none info\n", static_cast<unsigned long long>(bytes));
 
         auto message = peer_message(ping_message { 1234567, dialer.incarnation(), {} });
         auto bytesBefore = bytes;
@@ -114,9 +114,9 @@
                 io.provider->getTimer().afterDelay(1 * kj::MICROSECONDS).wait(io.waitScope);
         }
         auto perFrame = static_cast<double>(bytes - bytesBefore) / frameCount;
-        std::printf("peer_frame_bytes %.1f B - -\n", perFrame);
-        std::printf("peer_frame_overhead_bytes %.1f B - -\n", perFrame - static_cast<double>(encodedSize(message)));
-        std::printf("peer_frame_processor_us %.2f us - -\n", (processorMicroseconds() - cpuBefore) / frameCount);
+        std::printf("peer_frame_bytes %.1f B none info\n", perFrame);
+        std::printf("peer_frame_overhead_bytes %.1f B none info\n", perFrame - static_cast<double>(encodedSize(message)));
+        std::printf("peer_frame_processor_us %.2f us none info\n", (processorMicroseconds() - cpuBefore) / frameCount);
         std::printf("peer_frames_refused %llu count 0 %s\n", static_cast<unsigned long long>(dialer.refused + acceptor.refused),
             dialer.refused + acceptor.refused == 0 ? "pass" : "fail");
     }
--- a/performance_test/measure_proxy.cpp
+++ b/performance_test/measure_proxy.cpp
@@ -196,8 +196,8 @@
         auto throughNode = repeat([&] { return measureThroughput(server.port()); });
         auto direct = repeat([&] { return measureThroughput(target.port()); });
         // These two have no target; they are to be read beside each other.
-        std::printf("node_requests_per_core_second %.0f requests/s 0 pass\n", throughNode);
-        std::printf("direct_requests_per_core_second %.0f requests/s 0 pass\n", direct);
+        std::printf("node_requests_per_core_second %.0f requests/s none info\n", throughNode);
+        std::printf("direct_requests_per_core_second %.0f requests/s none info\n", direct);
         auto ending = std::atomic<bool> { false };
         auto annoying = std::jthread([&] { annoy(server.port(), ending); });
         auto annoyed = repeat([&] { return measureAdded(server.port(), target.port()); });
