Serving groups follow membership change by change

Change: only groups that lose a member or that a newcomer would join are chosen anew; the choice keeps the best few of each data centre in one pass; a configuration re-chooses groups only when nodes changed or the service is new. Ruled out: choosing lazily per request, since the groups are what membership tells callers at once.

--- a/gypsumhub/decision/controllers/group_controller.cpp
+++ b/gypsumhub/decision/controllers/group_controller.cpp
@@ -3,10 +3,24 @@
 #include "gypsumhub/decision/distance.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
+#include <tuple>
+#include <utility>
 
 namespace gypsumhub {
 
+namespace {
+
+    auto difference(std::span<const node_key> from, std::span<const node_key> without) -> std::vector<node_key>
+    {
+        auto result = std::vector<node_key> {};
+        std::ranges::set_difference(from, without, std::back_inserter(result));
+        return result;
+    }
+
+} // namespace
+
 group_controller::group_controller(blackboard& board)
     : m_board(board)
 {
@@ -14,35 +28,59 @@
 
 auto group_controller::onMembership(const membership_event& event) -> void
 {
-    if (m_board.membershipKnown && m_board.alive == event.alive)
+    auto alive = event.alive;
+    std::ranges::sort(alive);
+    if (m_board.membershipKnown && m_board.alive == alive)
         return;
-    m_board.alive = event.alive;
-    std::ranges::sort(m_board.alive);
-    m_board.membershipKnown = true;
-    chooseGroups();
+    auto before = std::exchange(m_board.alive, std::move(alive));
+    auto wasKnown = std::exchange(m_board.membershipKnown, true);
+    listCandidates();
+    if (!wasKnown) {
+        // Until now every registered node counted as alive.
+        for (auto& service : m_board.services)
+            chooseGroup(service);
+        return;
+    }
+    chooseAffected(difference(before, m_board.alive), difference(m_board.alive, before));
 }
 
-auto group_controller::chooseGroups() -> void
+auto group_controller::onConfiguration() -> void
 {
-    if (!m_board.config)
-        return;
-    auto nodes = candidates();
-    for (auto& service : m_board.services)
-        chooseGroup(service, nodes);
+    auto nodesChanged = haveNodesChanged();
+    m_config = m_board.config;
+    indexNodes();
+    listCandidates();
+    for (auto& service : m_board.services) {
+        if (nodesChanged || !service.groupChosen)
+            chooseGroup(service);
+    }
 }
 
-auto group_controller::candidates() const -> std::vector<group_candidate>
+auto group_controller::haveNodesChanged() const -> bool
+{
+    return !m_config || m_config->nodes != m_board.config->nodes || m_config->dataCentres != m_board.config->dataCentres;
+}
+
+auto group_controller::indexNodes() -> void
 {
     // Data centres are numbered in order of name, which all nodes agree on.
     auto indexes = std::map<std::string_view, uint16_t> {};
-    for (auto& [name, spec] : m_board.config->dataCentres)
+    for (auto& [name, spec] : m_config->dataCentres)
         indexes.emplace(name, static_cast<uint16_t>(indexes.size()));
-    auto nodes = std::vector<group_candidate> {};
-    for (auto& [name, node] : m_board.config->nodes) {
-        if (isAlive(node.key))
-            nodes.push_back({ node.key, { indexes[node.dataCentre] } });
+    m_registered.clear();
+    for (auto& [name, node] : m_config->nodes) {
+        auto distance = distanceBetween(*m_config, m_board.settings.dataCentre, node.dataCentre);
+        m_registered.insert({ node.key, { { node.key, { indexes[node.dataCentre] } }, &node, distance } });
+    }
+}
+
+auto group_controller::listCandidates() -> void
+{
+    m_candidates.clear();
+    for (auto& [key, entry] : m_registered) {
+        if (isAlive(key))
+            m_candidates.push_back(entry.candidate);
     }
-    return nodes;
 }
 
 auto group_controller::isAlive(node_key key) const -> bool
@@ -51,21 +89,61 @@
     return !m_board.membershipKnown || std::ranges::binary_search(m_board.alive, key);
 }
 
-auto group_controller::chooseGroup(service_record& service, const std::vector<group_candidate>& nodes) -> void
+auto group_controller::chooseAffected(std::span<const node_key> gone, std::span<const node_key> come) -> void
 {
-    auto chosen = chooseServingGroup(service.spec->key, nodes, m_board.settings.membersPerDataCentre);
-    auto group = std::vector<member_view> {};
-    for (auto& [name, node] : m_board.config->nodes) {
-        if (std::ranges::find(chosen, node.key) == chosen.end())
+    for (auto& service : m_board.services) {
+        if (isAffected(service, gone, come))
+            chooseGroup(service);
+    }
+}
+
+auto group_controller::isAffected(const service_record& service, std::span<const node_key> gone, std::span<const node_key> come) const -> bool
+{
+    auto hasMember = [&](node_key node) { return std::ranges::find(service.group, node, &member_view::key) != service.group.end(); };
+    auto joins = [&](node_key node) { return wouldJoin(service, node); };
+    return std::ranges::any_of(gone, hasMember) || std::ranges::any_of(come, joins);
+}
+
+auto group_controller::wouldJoin(const service_record& service, node_key node) const -> bool
+{
+    auto entry = m_registered.find(node);
+    if (entry == m_registered.end())
+        return false;
+    // It joins when its data centre has a place left, or when it ranks before a member there.
+    auto members = uint32_t { 0 };
+    for (auto& member : service.group) {
+        if (member.dataCentre != entry->second.spec->dataCentre)
             continue;
-        auto distance = distanceBetween(*m_board.config, m_board.settings.dataCentre, node.dataCentre);
-        group.push_back({ node.key, node.callerAddress, distance, node.dataCentre });
+        ++members;
+        if (ranksBefore(service.spec->key, node, member.key))
+            return true;
     }
-    std::ranges::stable_sort(group, {}, &member_view::distance);
+    return members < m_board.settings.membersPerDataCentre;
+}
+
+auto group_controller::makeMember(node_key key) const -> member_view
+{
+    auto& entry = m_registered.at(key);
+    return { key, entry.spec->callerAddress, entry.distance, entry.spec->dataCentre };
+}
+
+auto group_controller::chooseGroup(service_record& service) -> void
+{
+    service.groupChosen = true;
+    auto chosen = chooseServingGroup(service.spec->key, m_candidates, m_board.settings.membersPerDataCentre);
+    // Nearest first, then in order of name.
+    std::ranges::sort(chosen, {}, [this](node_key key) {
+        auto& entry = m_registered.at(key);
+        return std::tuple<uint8_t, std::string_view>(entry.distance, entry.spec->name);
+    });
+    auto group = std::vector<member_view> {};
+    group.reserve(chosen.size());
+    for (auto key : chosen)
+        group.push_back(makeMember(key));
 
     // A node that is not registered, as in small trials, serves everything itself.
-    auto registered = std::ranges::any_of(m_board.config->nodes, [&](auto& entry) { return entry.second.key == m_board.settings.self; });
-    auto served = !registered || std::ranges::find(group, m_board.settings.self, &member_view::key) != group.end();
+    auto isRegistered = m_registered.contains(m_board.settings.self);
+    auto served = !isRegistered || std::ranges::find(group, m_board.settings.self, &member_view::key) != group.end();
     if (group == service.group && served == service.servedHere)
         return;
     service.group = std::move(group);
--- a/gypsumhub/decision/decision_core.cpp
+++ b/gypsumhub/decision/decision_core.cpp
@@ -26,7 +26,7 @@
     auto on(const configuration_event& event) -> void
     {
         inventory.onConfiguration(event);
-        groups.chooseGroups();
+        groups.onConfiguration();
     }
 
     auto on(const attempt_event& event) -> void { work.onAttempt(event.report); }
--- a/gypsumhub/decision/service_record.h
+++ b/gypsumhub/decision/service_record.h
@@ -21,6 +21,8 @@
     /// Nearest first.
     std::vector<member_view> group;
     bool servedHere { true };
+    /// Whether the group was ever chosen; false for a service that has just been configured.
+    bool groupChosen { false };
     duration overdueAfter { seconds(1) };
     latency_baseline latencies;
     recent_likelihoods slowness;
--- a/gypsumhub/decision/serving_group.cpp
+++ b/gypsumhub/decision/serving_group.cpp
@@ -9,36 +9,51 @@
 
 namespace {
 
-    struct ranked_candidate {
-        data_centre_index dataCentre;
+    struct ranked_node {
         uint64_t weight;
         node_key key;
     };
 
-    auto precedes(const ranked_candidate& a, const ranked_candidate& b) -> bool
+    auto precedes(const ranked_node& a, const ranked_node& b) -> bool
     {
-        return std::tuple(a.dataCentre, b.weight, a.key) < std::tuple(b.dataCentre, a.weight, b.key);
+        return std::tuple(b.weight, a.key) < std::tuple(a.weight, b.key);
+    }
+
+    auto rank(service_key service, node_key node) -> ranked_node
+    {
+        return { mixHashes(service.value, node.value), node };
+    }
+
+    // The best of one data centre, in order of rank. Short, so that insertion is cheaper than a heap.
+    auto insertRanked(std::vector<ranked_node>& best, const ranked_node& node, uint32_t limit) -> void
+    {
+        if (best.size() == limit && (limit == 0 || !precedes(node, best.back())))
+            return;
+        best.insert(std::ranges::upper_bound(best, node, precedes), node);
+        if (best.size() > limit)
+            best.pop_back();
     }
 
 } // namespace
 
+auto ranksBefore(service_key service, node_key a, node_key b) -> bool
+{
+    return precedes(rank(service, a), rank(service, b));
+}
+
 auto chooseServingGroup(service_key service, std::span<const group_candidate> candidates, uint32_t membersPerDataCentre)
     -> std::vector<node_key>
 {
-    auto ranked = std::vector<ranked_candidate> {};
-    ranked.reserve(candidates.size());
-    for (auto& candidate : candidates)
-        ranked.push_back({ candidate.dataCentre, mixHashes(service.value, candidate.key.value), candidate.key });
-    std::ranges::sort(ranked, precedes);
-
-    // Take the first few of each data centre.
+    auto bestByDataCentre = std::vector<std::vector<ranked_node>> {};
+    for (auto& candidate : candidates) {
+        if (bestByDataCentre.size() <= candidate.dataCentre.value)
+            bestByDataCentre.resize(candidate.dataCentre.value + 1U);
+        insertRanked(bestByDataCentre[candidate.dataCentre.value], rank(service, candidate.key), membersPerDataCentre);
+    }
     auto group = std::vector<node_key> {};
-    auto taken = uint32_t { 0 };
-    for (auto index = size_t { 0 }; index < ranked.size(); ++index) {
-        if (index == 0 || ranked[index].dataCentre != ranked[index - 1].dataCentre)
-            taken = 0;
-        if (taken++ < membersPerDataCentre)
-            group.push_back(ranked[index].key);
+    for (auto& best : bestByDataCentre) {
+        for (auto& node : best)
+            group.push_back(node.key);
     }
     return group;
 }
