--- a/fakes/naive_fleet.cpp
+++ b/fakes/naive_fleet.cpp
@@ -14,7 +14,7 @@
 naive_fleet::naive_fleet(const schedule& plan)
     : m_plan(plan)
 {
-    m_nodes.resize(plan.membersPerDataCentre * 4);
+    m_nodes.resize(nodesPerDataCentre(plan) * 4);
     for (auto index = size_t { 0 }; index < m_nodes.size(); ++index) {
         m_nodes[index].next = index;
         m_nodes[index].targets.resize(plan.targets);
--- a/fakes/schedule.h
+++ b/fakes/schedule.h
@@ -78,6 +78,7 @@
     schedule_deployment deployment;
     size_t targets { 8 };
     uint32_t floorPercent { 70 };
+    /// Most members of the group in each data centre.
     size_t membersPerDataCentre { 3 };
     std::vector<schedule_load> loads;
     std::vector<schedule_fault> faults;
@@ -94,6 +95,9 @@
 /// A random schedule with several faults at once and in sequence.
 auto makeRandomSchedule(const schedule_deployment&, uint64_t seed) -> schedule;
 
+/// Nodes in each data centre, which all belong to the service's group.
+auto nodesPerDataCentre(const schedule&) -> size_t;
+
 /// Register and rules of the schedule's one service, and the nodes of its group.
 auto makeConfiguration(const schedule&) -> std::shared_ptr<const configuration>;
 
--- a/fakes/schedule_run.cpp
+++ b/fakes/schedule_run.cpp
@@ -28,7 +28,7 @@
             , m_router(router)
             , m_naive(policy == request_policy::Naive)
             , m_random(plan.seed ^ 0x5bd1e995)
-            , m_nodes(plan.membersPerDataCentre * 4)
+            , m_nodes(nodesPerDataCentre(plan) * 4)
             , m_deadConnections(m_nodes.size() * plan.targets, 0)
             , m_faultsNow(plan.targets)
             , m_lastFalseEjection(plan.targets, time_point {} - falseEjectionSpan)
--- a/gypsumhub/decision/controllers/group_controller.cpp
+++ b/gypsumhub/decision/controllers/group_controller.cpp
@@ -51,7 +51,8 @@
     indexNodes();
     listCandidates();
     for (auto& service : m_board.services) {
-        if (nodesChanged || !service.groupChosen)
+        // The group's size follows the slots of the service.
+        if (nodesChanged || service.groupMembers != membersOf(service))
             chooseGroup(service);
     }
 }
@@ -118,7 +119,15 @@
         if (ranksBefore(service.spec->key, node, member.key))
             return true;
     }
-    return members < m_board.settings.membersPerDataCentre;
+    return members < service.groupMembers;
+}
+
+auto group_controller::membersOf(const service_record& service) const -> uint32_t
+{
+    auto slots = uint32_t { 0 };
+    for (auto& target : service.targets)
+        slots += target.slots;
+    return membersPerDataCentre(slots, m_config->dataCentres.size(), m_board.settings.membersPerDataCentre);
 }
 
 auto group_controller::makeMember(node_key key) const -> member_view
@@ -129,8 +138,8 @@
 
 auto group_controller::chooseGroup(service_record& service) -> void
 {
-    service.groupChosen = true;
-    auto chosen = chooseServingGroup(service.spec->key, m_candidates, m_board.settings.membersPerDataCentre);
+    service.groupMembers = membersOf(service);
+    auto chosen = chooseServingGroup(service.spec->key, m_candidates, service.groupMembers);
     // Nearest first, then in order of name.
     std::ranges::sort(chosen, {}, [this](node_key key) {
         auto& entry = m_registered.at(key);
--- a/gypsumhub/decision/controllers/group_controller.h
+++ b/gypsumhub/decision/controllers/group_controller.h
@@ -37,6 +37,7 @@
     auto isAffected(const service_record&, std::span<const node_key> gone, std::span<const node_key> come) const -> bool;
     auto wouldJoin(const service_record&, node_key) const -> bool;
     auto isAlive(node_key) const -> bool;
+    auto membersOf(const service_record&) const -> uint32_t;
     auto makeMember(node_key) const -> member_view;
     auto chooseGroup(service_record&) -> void;
 
--- a/gypsumhub/decision/decision_settings.h
+++ b/gypsumhub/decision/decision_settings.h
@@ -13,7 +13,7 @@
     std::string dataCentre;
     /// Seed of the core's random generator.
     uint64_t seed { 1 };
-    /// Members of a serving group in each data centre.
+    /// Most members of a serving group in each data centre; services with few slots get fewer.
     uint32_t membersPerDataCentre { 3 };
 };
 
--- a/gypsumhub/decision/service_record.h
+++ b/gypsumhub/decision/service_record.h
@@ -21,8 +21,8 @@
     /// Nearest first.
     std::vector<member_view> group;
     bool servedHere { true };
-    /// Whether the group was ever chosen; false for a service that has just been configured.
-    bool groupChosen { false };
+    /// Members wanted in each data centre when the group was chosen; 0 before that.
+    uint32_t groupMembers { 0 };
     duration overdueAfter { seconds(1) };
     latency_baseline latencies;
     recent_likelihoods slowness;
--- a/gypsumhub/decision/serving_group.cpp
+++ b/gypsumhub/decision/serving_group.cpp
@@ -41,6 +41,13 @@
     return precedes(rank(service, a), rank(service, b));
 }
 
+auto membersPerDataCentre(uint32_t slots, size_t dataCentres, uint32_t most) -> uint32_t
+{
+    auto places = static_cast<uint32_t>(std::max<size_t>(dataCentres, 1));
+    auto least = places > 1 ? 1U : 2U;
+    return std::min(std::max(slots / (places * slotsPerMember), least), most);
+}
+
 auto chooseServingGroup(service_key service, std::span<const group_candidate> candidates, uint32_t membersPerDataCentre)
     -> std::vector<node_key>
 {
--- a/gypsumhub/decision/serving_group.h
+++ b/gypsumhub/decision/serving_group.h
@@ -18,6 +18,13 @@
 /// Whether `a` comes before `b` in the rendezvous order of a service.
 auto ranksBefore(service_key, node_key a, node_key b) -> bool;
 
+/// Members of a service's group in each data centre: few enough that each has `slotsPerMember` slots, and so enough targets to
+/// compare and enough exchanges to judge by; at most `most`, and at least two in all as far as that allows.
+auto membersPerDataCentre(uint32_t slots, size_t dataCentres, uint32_t most) -> uint32_t;
+
+/// Slots that a member of a serving group has for itself, unless the group would become too small.
+constexpr auto slotsPerMember = uint32_t { 8 };
+
 /// Chooses the serving group of a service by rendezvous hashing: in each data centre the `membersPerDataCentre` candidates
 /// with the highest mixed hash. Losing one candidate changes at most one member. The result is in order of data centre, then rank.
 /// Takes time in proportion to the number of candidates.
--- a/unit_tests/decision/serving_group_test.cpp
+++ b/unit_tests/decision/serving_group_test.cpp
@@ -5,6 +5,19 @@
 
 namespace gypsumhub {
 
+TEST_CASE("a group is as large as the service's slots allow, within its limits")
+{
+    // 18 VMs of 4 slots and 8 of 3 in 4 data centres, a service of the large size, and one with a slot or two.
+    CHECK(membersPerDataCentre(72, 4, 3) == 2);
+    CHECK(membersPerDataCentre(24, 4, 3) == 1);
+    CHECK(membersPerDataCentre(100, 5, 3) == 2);
+    CHECK(membersPerDataCentre(1000, 5, 3) == 3);
+    CHECK(membersPerDataCentre(2, 4, 3) == 1);
+    // One data centre keeps two members, so that one may fail.
+    CHECK(membersPerDataCentre(8, 1, 3) == 2);
+    CHECK(membersPerDataCentre(8, 1, 1) == 1);
+}
+
 TEST_CASE("losing one of 40 nodes changes at most one member of each serving group")
 {
     auto all = std::vector<group_candidate> {};
