The list of VMs is read at most 100 times a second by the whole fleet

Cause: every node read it each 2 s, 1,800 reads a second at 3,600 nodes, near all that the platform gives. Change: the interval stretches with the registered nodes: 2 s up to 200 nodes, 36 s at 3,600.

--- a/gypsumhub/main/node_parts.cpp
+++ b/gypsumhub/main/node_parts.cpp
@@ -173,6 +173,8 @@
     logEvent(google::GLOG_INFO, "configuration-in-force", std::move(fields));
     m_transport->setPeers(peerAddresses(*next, m_self));
     m_claims.configure(*next);
+    if (m_listPoller)
+        m_listPoller->setFleetSize(next->nodes.size());
     m_decision.handle(configuration_event { std::move(next) });
 }
 
--- a/gypsumhub/main/vm_list_poller.cpp
+++ b/gypsumhub/main/vm_list_poller.cpp
@@ -38,10 +38,21 @@
 vm_list_poller::vm_list_poller(const vm_list_poller_settings& settings, std::function<void(vm_list_event)> listener)
     : m_settings(settings)
     , m_listener(std::move(listener))
+    , m_intervalNs(settings.interval.ns)
     , m_thread([this](const std::stop_token& stop) { loop(stop); })
 {
 }
 
+auto vm_list_poller::setFleetSize(size_t nodes) -> void
+{
+    m_intervalNs.store(intervalFor(m_settings.interval, nodes).ns, std::memory_order_relaxed);
+}
+
+auto vm_list_poller::intervalFor(duration shortest, size_t nodes) -> duration
+{
+    return std::max(shortest, seconds(1) * static_cast<int64_t>(nodes) / fleetReadsPerSecond);
+}
+
 auto vm_list_poller::failures() const -> uint64_t
 {
     return m_failures.load(std::memory_order_relaxed);
@@ -68,9 +79,10 @@
                 m_listener(next);
             last = std::move(next);
         }
-        auto quarter = static_cast<double>(m_settings.interval.ns) / 4;
+        auto interval = duration { m_intervalNs.load(std::memory_order_relaxed) };
+        auto quarter = static_cast<double>(interval.ns) / 4;
         auto jitter = static_cast<int64_t>(quarter * (2 * random.unit() - 1));
-        sleepFor(stop, m_settings.interval + duration { jitter });
+        sleepFor(stop, interval + duration { jitter });
     }
 }
 
