--- a/gypsumhub/main/attempt_inbox.h
+++ b/gypsumhub/main/attempt_inbox.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <tbb/concurrent_queue.h>
 
 namespace gypsumhub {
@@ -22,7 +23,8 @@
     auto dropped() const -> uint64_t;
 
 private:
-    tbb::concurrent_queue<attempt_report> m_reports;
+    // The standard allocator, because the thread sanitizer cannot see how oneTBB's own hands pages from thread to thread.
+    tbb::concurrent_queue<attempt_report, std::allocator<attempt_report>> m_reports;
     std::atomic<size_t> m_waiting { 0 };
     std::atomic<uint64_t> m_dropped { 0 };
 };
