The store's adapters move from platform/ to store/, so that platform/ can hold the users' platform alone

Cause: the users' platform gets a small folder of its own; the etcd-style adapter and the store interface are the product's. Base64 leaves the etcd messages, since a second adapter needs it. The connection's field removal is split from the product's own fields. A boot-time clock is added: a suspended machine must notice that deadlines passed. Ruled out: keeping both adapters in one folder; the layer check could not tell them apart. Conclusion: no change of behaviour; unit tests pass as before.

--- a/fakes/fake_store.h
+++ b/fakes/fake_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "fakes/fake_store_state.h"
-#include "gypsumhub/platform/store.h"
+#include "gypsumhub/store/store.h"
 
 #include <functional>
 #include <mutex>
--- a/fakes/fake_store_server.cpp
+++ b/fakes/fake_store_server.cpp
@@ -1,7 +1,8 @@
 #include "fakes/fake_store_server.h"
 
 #include "gypsumhub/core/clock.h"
-#include "gypsumhub/platform/etcd_message.h"
+#include "gypsumhub/store/base64.h"
+#include "gypsumhub/store/etcd_message.h"
 
 #include <boost/json.hpp>
 #include <utility>
@@ -19,7 +20,7 @@
 
     auto bytesIn(const json::value& value) -> std::string
     {
-        return etcd::fromBase64(json::value_to<std::string>(value)).value();
+        return fromBase64(json::value_to<std::string>(value)).value();
     }
 
     auto headerOf(const fake_store_state& state) -> json::value
@@ -29,7 +30,7 @@
 
     auto entryObject(const store_entry& entry) -> json::value
     {
-        return { { "key", etcd::toBase64(entry.key) }, { "mod_revision", std::to_string(entry.modRevision) }, { "value", etcd::toBase64(entry.value) } };
+        return { { "key", toBase64(entry.key) }, { "mod_revision", std::to_string(entry.modRevision) }, { "value", toBase64(entry.value) } };
     }
 
     auto answerWith(json::value body) -> fake_http_answer
--- a/fakes/fake_store_state.h
+++ b/fakes/fake_store_state.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "gypsumhub/core/time_point.h"
-#include "gypsumhub/platform/store.h"
-#include "gypsumhub/platform/store_call_counts.h"
+#include "gypsumhub/store/store.h"
+#include "gypsumhub/store/store_call_counts.h"
 
 #include <cstdint>
 #include <map>
--- a/fakes/fake_target.h
+++ b/fakes/fake_target.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "gypsumhub/core/asio_types.h"
 #include "gypsumhub/core/random_generator.h"
-#include "gypsumhub/proxy/asio_types.h"
 
 #include <atomic>
 #include <boost/beast/core/flat_buffer.hpp>
--- a/fakes/fake_vm_list.h
+++ b/fakes/fake_vm_list.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gypsumhub/platform/vm_list.h"
+#include "gypsumhub/store/vm_list.h"
 
 #include <map>
 #include <string>
--- a/fakes/load_caller.h
+++ b/fakes/load_caller.h
@@ -2,8 +2,8 @@
 
 #include "fakes/load_report.h"
 #include "gypsumhub/config/configuration.h"
+#include "gypsumhub/core/asio_types.h"
 #include "gypsumhub/core/random_generator.h"
-#include "gypsumhub/proxy/asio_types.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <cstdint>
--- a/gypsumhub/core/clock.cpp
+++ b/gypsumhub/core/clock.cpp
@@ -25,4 +25,9 @@
     return readClock(CLOCK_MONOTONIC);
 }
 
+auto bootClockNow() -> time_point
+{
+    return readClock(CLOCK_BOOTTIME);
+}
+
 } // namespace gypsumhub
--- a/gypsumhub/core/clock.h
+++ b/gypsumhub/core/clock.h
@@ -10,4 +10,7 @@
 /// A clock that never goes back, for intervals; its epoch is arbitrary.
 auto steadyClockNow() -> time_point;
 
+/// A clock that never goes back and also counts the time that the machine was suspended.
+auto bootClockNow() -> time_point;
+
 } // namespace gypsumhub
--- a/gypsumhub/fleet/store_reader.h
+++ b/gypsumhub/fleet/store_reader.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "gypsumhub/core/random_generator.h"
-#include "gypsumhub/platform/configuration_loader.h"
-#include "gypsumhub/platform/store.h"
+#include "gypsumhub/store/configuration_loader.h"
+#include "gypsumhub/store/store.h"
 
 #include <cstdint>
 #include <memory>
--- a/gypsumhub/main/node_parts.h
+++ b/gypsumhub/main/node_parts.h
@@ -11,8 +11,8 @@
 #include "gypsumhub/main/probe_runner.h"
 #include "gypsumhub/main/vm_list_poller.h"
 #include "gypsumhub/operator/admin_server.h"
-#include "gypsumhub/platform/etcd_store.h"
 #include "gypsumhub/proxy/proxy_server.h"
+#include "gypsumhub/store/etcd_store.h"
 
 #include <atomic>
 #include <memory>
--- a/gypsumhub/main/vm_list_poller.cpp
+++ b/gypsumhub/main/vm_list_poller.cpp
@@ -3,7 +3,7 @@
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/core/hash.h"
 #include "gypsumhub/core/random_generator.h"
-#include "gypsumhub/platform/http_vm_list.h"
+#include "gypsumhub/store/http_vm_list.h"
 
 #include <algorithm>
 #include <condition_variable>
--- a/gypsumhub/operator/register/register_commands.cpp
+++ b/gypsumhub/operator/register/register_commands.cpp
@@ -3,7 +3,7 @@
 #include "gypsumhub/config/configuration_builder.h"
 #include "gypsumhub/config/revision_bundle.h"
 #include "gypsumhub/operator/register/register_text.h"
-#include "gypsumhub/platform/caught_result.h"
+#include "gypsumhub/store/caught_result.h"
 
 #include <array>
 #include <fstream>
--- a/gypsumhub/operator/register/register_request.cpp
+++ b/gypsumhub/operator/register/register_request.cpp
@@ -1,8 +1,8 @@
 #include "gypsumhub/operator/register/register_request.h"
 
 #include "gypsumhub/config/section_reader.h"
-#include "gypsumhub/platform/etcd_store.h"
-#include "gypsumhub/platform/pacing_store.h"
+#include "gypsumhub/store/etcd_store.h"
+#include "gypsumhub/store/pacing_store.h"
 
 #include <algorithm>
 #include <array>
--- a/gypsumhub/operator/register/register_text.h
+++ b/gypsumhub/operator/register/register_text.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gypsumhub/config/config_revision.h"
-#include "gypsumhub/platform/configuration_writer.h"
+#include "gypsumhub/store/configuration_writer.h"
 
 #include <optional>
 #include <span>
--- a/gypsumhub/proxy/answer_sink.h
+++ b/gypsumhub/proxy/answer_sink.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gypsumhub/proxy/asio_types.h"
+#include "gypsumhub/core/asio_types.h"
 
 #include <cstdint>
 #include <optional>
--- a/gypsumhub/proxy/caller_answer.h
+++ b/gypsumhub/proxy/caller_answer.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "gypsumhub/core/asio_types.h"
 #include "gypsumhub/core/result_code.h"
 #include "gypsumhub/decision/request/claim.h"
-#include "gypsumhub/proxy/asio_types.h"
 #include "gypsumhub/proxy/target_exchange.h"
 
 #include <memory>
--- a/gypsumhub/proxy/caller_session.h
+++ b/gypsumhub/proxy/caller_session.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "gypsumhub/core/asio_types.h"
 #include "gypsumhub/proxy/answer_sink.h"
-#include "gypsumhub/proxy/asio_types.h"
 #include "gypsumhub/proxy/caller_answer.h"
 #include "gypsumhub/proxy/caller_request.h"
 #include "gypsumhub/proxy/held_bytes.h"
--- a/gypsumhub/proxy/claim_wait.h
+++ b/gypsumhub/proxy/claim_wait.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gypsumhub/proxy/asio_types.h"
+#include "gypsumhub/core/asio_types.h"
 #include "gypsumhub/proxy/claim_port.h"
 #include "gypsumhub/proxy/request_cancellation.h"
 
--- a/gypsumhub/proxy/message_fields.cpp
+++ b/gypsumhub/proxy/message_fields.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-auto removeConnectionFields(http::fields& fields) -> void
+auto removeHopByHopFields(http::fields& fields) -> void
 {
     // Names first, since erasing invalidates the list.
     auto named = std::vector<std::string> {};
@@ -46,6 +46,11 @@
         fields.erase(name);
     for (auto name : connectionFields)
         fields.erase(name);
+}
+
+auto removeConnectionFields(http::fields& fields) -> void
+{
+    removeHopByHopFields(fields);
     for (auto name : productFields)
         fields.erase(name);
 }
--- a/gypsumhub/proxy/message_fields.h
+++ b/gypsumhub/proxy/message_fields.h
@@ -1,13 +1,16 @@
 #pragma once
 
 #include "gypsumhub/config/configuration.h"
-#include "gypsumhub/proxy/asio_types.h"
+#include "gypsumhub/core/asio_types.h"
 #include "gypsumhub/proxy/caller_request.h"
 
 #include <string>
 
 namespace gypsumhub {
 
+/// Removes the fields that concern one connection only, and those that `Connection` names.
+auto removeHopByHopFields(http::fields&) -> void;
+
 /// Removes the fields that concern one connection only, those that `Connection` names, and every field of the product.
 auto removeConnectionFields(http::fields&) -> void;
 
--- a/gypsumhub/proxy/request_head_check.h
+++ b/gypsumhub/proxy/request_head_check.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "gypsumhub/core/asio_types.h"
 #include "gypsumhub/core/result_code.h"
-#include "gypsumhub/proxy/asio_types.h"
 
 #include <string_view>
 
--- a/gypsumhub/proxy/slot_queue.h
+++ b/gypsumhub/proxy/slot_queue.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "gypsumhub/core/asio_types.h"
 #include "gypsumhub/core/random_generator.h"
 #include "gypsumhub/decision/request/admission_queue.h"
 #include "gypsumhub/decision/request/target_chooser.h"
-#include "gypsumhub/proxy/asio_types.h"
 #include "gypsumhub/proxy/proxy_context.h"
 #include "gypsumhub/proxy/request_cancellation.h"
 
--- a/gypsumhub/proxy/target_connection.h
+++ b/gypsumhub/proxy/target_connection.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "gypsumhub/config/configuration.h"
+#include "gypsumhub/core/asio_types.h"
 #include "gypsumhub/core/time_point.h"
-#include "gypsumhub/proxy/asio_types.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <functional>
--- a/gypsumhub/platform/call_budget.cpp
+++ b/gypsumhub/store/call_budget.cpp
@@ -1,4 +1,4 @@
-#include "gypsumhub/platform/call_budget.h"
+#include "gypsumhub/store/call_budget.h"
 
 #include <algorithm>
 #include <cassert>
--- a/gypsumhub/platform/configuration_loader.cpp
+++ b/gypsumhub/store/configuration_loader.cpp
@@ -1,8 +1,8 @@
-#include "gypsumhub/platform/configuration_loader.h"
+#include "gypsumhub/store/configuration_loader.h"
 
 #include "gypsumhub/config/revision_chain.h"
 #include "gypsumhub/config/revision_codec.h"
-#include "gypsumhub/platform/configuration_keys.h"
+#include "gypsumhub/store/configuration_keys.h"
 
 #include <algorithm>
 #include <utility>
--- a/gypsumhub/platform/configuration_loader.h
+++ b/gypsumhub/store/configuration_loader.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gypsumhub/config/config_revision.h"
-#include "gypsumhub/platform/store.h"
+#include "gypsumhub/store/store.h"
 
 #include <map>
 #include <memory>
--- a/gypsumhub/platform/configuration_writer.cpp
+++ b/gypsumhub/store/configuration_writer.cpp
@@ -1,6 +1,6 @@
-#include "gypsumhub/platform/configuration_writer.h"
+#include "gypsumhub/store/configuration_writer.h"
 
-#include "gypsumhub/platform/caught_result.h"
+#include "gypsumhub/store/caught_result.h"
 
 #include <algorithm>
 #include <utility>
--- a/gypsumhub/platform/configuration_writer.h
+++ b/gypsumhub/store/configuration_writer.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "gypsumhub/config/config_revision.h"
-#include "gypsumhub/platform/configuration_loader.h"
-#include "gypsumhub/platform/revision_publisher.h"
-#include "gypsumhub/platform/store.h"
-#include "gypsumhub/platform/store_clock.h"
+#include "gypsumhub/store/configuration_loader.h"
+#include "gypsumhub/store/revision_publisher.h"
+#include "gypsumhub/store/store.h"
+#include "gypsumhub/store/store_clock.h"
 
 #include <functional>
 #include <memory>
--- a/gypsumhub/platform/endpoint_backoff.cpp
+++ b/gypsumhub/store/endpoint_backoff.cpp
@@ -1,4 +1,4 @@
-#include "gypsumhub/platform/endpoint_backoff.h"
+#include "gypsumhub/store/endpoint_backoff.h"
 
 #include <algorithm>
 
--- a/gypsumhub/platform/etcd_message.h
+++ b/gypsumhub/store/etcd_message.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gypsumhub/platform/store.h"
+#include "gypsumhub/store/store.h"
 
 #include <cstdint>
 #include <optional>
@@ -13,10 +13,6 @@
 /// keys and values are base64.
 namespace etcd {
 
-    auto toBase64(std::string_view bytes) -> std::string;
-    /// Nothing when the text is not base64.
-    auto fromBase64(std::string_view text) -> std::optional<std::string>;
-
     auto rangeRequest(std::string_view key) -> std::string;
     /// A transaction that puts `value` if the key's modification revision is `expectedRevision`; `lease` 0 means none.
     auto putIfRequest(std::string_view key, uint64_t expectedRevision, std::string_view value, int64_t lease) -> std::string;
--- a/gypsumhub/platform/etcd_store.cpp
+++ b/gypsumhub/store/etcd_store.cpp
@@ -1,7 +1,7 @@
-#include "gypsumhub/platform/etcd_store.h"
+#include "gypsumhub/store/etcd_store.h"
 
 #include "gypsumhub/core/clock.h"
-#include "gypsumhub/platform/etcd_message.h"
+#include "gypsumhub/store/etcd_message.h"
 
 #include <algorithm>
 #include <utility>
--- a/gypsumhub/platform/etcd_store.h
+++ b/gypsumhub/store/etcd_store.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "gypsumhub/config/configuration.h"
-#include "gypsumhub/platform/call_budget.h"
-#include "gypsumhub/platform/endpoint_backoff.h"
-#include "gypsumhub/platform/http_connection.h"
-#include "gypsumhub/platform/store.h"
-#include "gypsumhub/platform/store_call_counts.h"
+#include "gypsumhub/store/call_budget.h"
+#include "gypsumhub/store/endpoint_backoff.h"
+#include "gypsumhub/store/http_connection.h"
+#include "gypsumhub/store/store.h"
+#include "gypsumhub/store/store_call_counts.h"
 
 #include <functional>
 #include <map>
--- a/gypsumhub/platform/http_connection.cpp
+++ b/gypsumhub/store/http_connection.cpp
@@ -1,4 +1,4 @@
-#include "gypsumhub/platform/http_connection.h"
+#include "gypsumhub/store/http_connection.h"
 
 #include "gypsumhub/config/section_reader.h"
 #include "gypsumhub/core/clock.h"
--- a/gypsumhub/platform/http_vm_list.cpp
+++ b/gypsumhub/store/http_vm_list.cpp
@@ -1,4 +1,4 @@
-#include "gypsumhub/platform/http_vm_list.h"
+#include "gypsumhub/store/http_vm_list.h"
 
 #include <boost/json.hpp>
 #include <utility>
--- a/gypsumhub/platform/http_vm_list.h
+++ b/gypsumhub/store/http_vm_list.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gypsumhub/platform/http_connection.h"
-#include "gypsumhub/platform/vm_list.h"
+#include "gypsumhub/store/http_connection.h"
+#include "gypsumhub/store/vm_list.h"
 
 namespace gypsumhub {
 
--- a/gypsumhub/platform/pacing_store.cpp
+++ b/gypsumhub/store/pacing_store.cpp
@@ -1,6 +1,6 @@
-#include "gypsumhub/platform/pacing_store.h"
+#include "gypsumhub/store/pacing_store.h"
 
-#include "gypsumhub/platform/caught_result.h"
+#include "gypsumhub/store/caught_result.h"
 
 #include <utility>
 #include <variant>
--- a/gypsumhub/platform/pacing_store.h
+++ b/gypsumhub/store/pacing_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gypsumhub/platform/store.h"
-#include "gypsumhub/platform/store_clock.h"
+#include "gypsumhub/store/store.h"
+#include "gypsumhub/store/store_clock.h"
 
 namespace gypsumhub {
 
--- a/gypsumhub/platform/revision_publisher.cpp
+++ b/gypsumhub/store/revision_publisher.cpp
@@ -1,8 +1,8 @@
-#include "gypsumhub/platform/revision_publisher.h"
+#include "gypsumhub/store/revision_publisher.h"
 
 #include "gypsumhub/config/revision_codec.h"
-#include "gypsumhub/platform/caught_result.h"
-#include "gypsumhub/platform/configuration_keys.h"
+#include "gypsumhub/store/caught_result.h"
+#include "gypsumhub/store/configuration_keys.h"
 
 #include <algorithm>
 #include <cassert>
--- a/gypsumhub/platform/revision_publisher.h
+++ b/gypsumhub/store/revision_publisher.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "gypsumhub/config/config_revision.h"
-#include "gypsumhub/platform/configuration_loader.h"
-#include "gypsumhub/platform/store.h"
-#include "gypsumhub/platform/store_clock.h"
+#include "gypsumhub/store/configuration_loader.h"
+#include "gypsumhub/store/store.h"
+#include "gypsumhub/store/store_clock.h"
 
 #include <memory>
 #include <optional>
--- a/gypsumhub/platform/store_call_counts.cpp
+++ b/gypsumhub/store/store_call_counts.cpp
@@ -1,4 +1,4 @@
-#include "gypsumhub/platform/store_call_counts.h"
+#include "gypsumhub/store/store_call_counts.h"
 
 namespace gypsumhub {
 
--- a/gypsumhub/platform/store_clock.cpp
+++ b/gypsumhub/store/store_clock.cpp
@@ -1,4 +1,4 @@
-#include "gypsumhub/platform/store_clock.h"
+#include "gypsumhub/store/store_clock.h"
 
 #include "gypsumhub/core/clock.h"
 
--- a/performance_test/measure_config.cpp
+++ b/performance_test/measure_config.cpp
@@ -7,8 +7,8 @@
 #include "gypsumhub/config/revision_codec.h"
 #include "gypsumhub/config/revision_transfer.h"
 #include "gypsumhub/core/clock.h"
-#include "gypsumhub/platform/configuration_loader.h"
-#include "gypsumhub/platform/configuration_writer.h"
+#include "gypsumhub/store/configuration_loader.h"
+#include "gypsumhub/store/configuration_writer.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/unit_tests/fleet/store_reader_test.cpp
+++ b/unit_tests/fleet/store_reader_test.cpp
@@ -3,7 +3,7 @@
 #include "fakes/fake_store.h"
 #include "fakes/sample_revisions.h"
 #include "gypsumhub/fleet/verified_configuration.h"
-#include "gypsumhub/platform/revision_publisher.h"
+#include "gypsumhub/store/revision_publisher.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/unit_tests/platform/configuration_loader_test.cpp
+++ b/unit_tests/store/configuration_loader_test.cpp
@@ -1,10 +1,10 @@
-#include "gypsumhub/platform/configuration_loader.h"
+#include "gypsumhub/store/configuration_loader.h"
 
 #include "fakes/fake_store.h"
 #include "fakes/faults_of.h"
 #include "fakes/sample_revisions.h"
-#include "gypsumhub/platform/configuration_writer.h"
-#include "gypsumhub/platform/pacing_store.h"
+#include "gypsumhub/store/configuration_writer.h"
+#include "gypsumhub/store/pacing_store.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/unit_tests/platform/configuration_schedule_test.cpp
+++ b/unit_tests/store/configuration_schedule_test.cpp
@@ -2,8 +2,8 @@
 #include "fakes/faults_of.h"
 #include "fakes/sample_revisions.h"
 #include "gypsumhub/core/random_generator.h"
-#include "gypsumhub/platform/caught_result.h"
-#include "gypsumhub/platform/configuration_writer.h"
+#include "gypsumhub/store/caught_result.h"
+#include "gypsumhub/store/configuration_writer.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/unit_tests/platform/configuration_writer_test.cpp
+++ b/unit_tests/store/configuration_writer_test.cpp
@@ -1,11 +1,11 @@
-#include "gypsumhub/platform/configuration_writer.h"
+#include "gypsumhub/store/configuration_writer.h"
 
 #include "fakes/fake_store.h"
 #include "fakes/faults_of.h"
 #include "fakes/sample_documents.h"
 #include "fakes/sample_revisions.h"
 #include "gypsumhub/config/revision_codec.h"
-#include "gypsumhub/platform/configuration_keys.h"
+#include "gypsumhub/store/configuration_keys.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/unit_tests/platform/etcd_store_test.cpp
+++ b/unit_tests/store/etcd_store_test.cpp
@@ -1,4 +1,4 @@
-#include "gypsumhub/platform/etcd_store.h"
+#include "gypsumhub/store/etcd_store.h"
 
 #include "fakes/fake_store_server.h"
 #include "fakes/faults_of.h"
--- a/unit_tests/platform/platform_policy_test.cpp
+++ b/unit_tests/store/platform_policy_test.cpp
@@ -1,9 +1,9 @@
 #include "fakes/fake_vm_list_server.h"
 #include "fakes/faults_of.h"
 #include "gypsumhub/core/clock.h"
-#include "gypsumhub/platform/call_budget.h"
-#include "gypsumhub/platform/endpoint_backoff.h"
-#include "gypsumhub/platform/http_vm_list.h"
+#include "gypsumhub/store/call_budget.h"
+#include "gypsumhub/store/endpoint_backoff.h"
+#include "gypsumhub/store/http_vm_list.h"
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
