Decisions of a gateway node: routes, placement by expected loss, waiting, repeats, who serves and who reads

Cause: on the users' platform about a third of the targets fail nine requests in ten for seconds while their health is good. A two-state hidden Markov model a target gives the probability that it is bad; its rates are learned per service. Placement takes the least expected loss (bad, distance, load, warm-up, slowness).

--- /dev/null
+++ b/gypsumhub/config/gateway_settings_reader.cpp
@@ -0,0 +1,167 @@
+#include "gypsumhub/config/gateway_settings_reader.h"
+
+#include "gypsumhub/config/section_reader.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+
+namespace gypsumhub {
+
+namespace {
+
+    // No data centre name holds a colon, so "NAME:REGION" splits at the first one.
+    auto readDataCentres(section_reader& reader, gateway_settings& settings) -> void
+    {
+        auto text = reader.requiredText("data_centres", "write NAME:REGION, NAME:REGION, ...");
+        for (auto& part : splitList(text)) {
+            auto colon = part.find(':');
+            if (colon == std::string::npos)
+                reader.report("data_centres", "\"" + part + "\" names no region", "write NAME:REGION");
+            else
+                settings.dataCentres.emplace_back(part.substr(0, colon), part.substr(colon + 1));
+        }
+        auto isOwn = [&](auto& entry) { return entry.first == settings.dataCentre && entry.second == settings.region; };
+        if (std::ranges::none_of(settings.dataCentres, isOwn))
+            reader.report("data_centres", "the node's own data centre and region are not listed", "add " + settings.dataCentre + ":" + settings.region);
+    }
+
+    auto readGateway(section_reader& reader, gateway_settings& settings) -> void
+    {
+        settings.name = reader.requiredText("name", "write the node's name");
+        settings.dataCentre = reader.requiredText("data_centre", "write the data centre's name");
+        settings.region = reader.requiredText("region", "write the region's name");
+        readDataCentres(reader, settings);
+        settings.callerAddress = reader.requiredAddress("caller_address");
+        settings.readinessAddress = reader.requiredAddress("readiness_address");
+        settings.directoryAddress = reader.requiredAddress("directory_address");
+        settings.peerAddress = reader.requiredAddress("peer_address");
+        settings.metricsAddress = reader.address("metrics_address").value_or(endpoint {});
+        settings.stopLimit = reader.length("stop_limit", settings.stopLimit);
+    }
+
+    auto readStore(section_reader& reader, gateway_settings& settings) -> void
+    {
+        settings.storeAddress = reader.requiredAddress("address");
+        settings.shortestLease = reader.length("shortest_lease", settings.shortestLease);
+    }
+
+    auto readDecimal(section_reader& reader, std::string_view key, double fallback) -> double
+    {
+        auto text = reader.text(key);
+        if (!text)
+            return fallback;
+        auto value = double {};
+        auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), value);
+        if (error == std::errc {} && end == text->data() + text->size() && std::isfinite(value) && value >= 0)
+            return value;
+        reader.report(key, "\"" + *text + "\" is not a number of 0 or more", "write a decimal number such as 0.2");
+        return fallback;
+    }
+
+    auto readRepeats(section_reader& reader, gateway_settings& settings) -> void
+    {
+        settings.repeatShare = readDecimal(reader, "share", settings.repeatShare);
+        settings.repeatReserve = readDecimal(reader, "reserve", settings.repeatReserve);
+        settings.repeatWindow = reader.length("window", settings.repeatWindow);
+    }
+
+    auto readDirectory(section_reader& reader, gateway_settings& settings) -> void
+    {
+        settings.directoryLifetime = reader.length("lifetime", settings.directoryLifetime);
+        settings.directoryNodes = reader.number("nodes", { 1, 64 }, settings.directoryNodes);
+    }
+
+    struct weight_row {
+        std::string_view key;
+        double selection_settings::*value;
+    };
+
+    constexpr auto weightRows = std::to_array<weight_row>({
+        { "other_data_centre", &selection_settings::otherDataCentre },
+        { "other_region", &selection_settings::otherRegion },
+        { "full_load", &selection_settings::fullLoad },
+        { "warming_up", &selection_settings::warmingUp },
+        { "twice_as_slow", &selection_settings::twiceAsSlow },
+        { "repeatable_loss", &selection_settings::repeatableLoss },
+        { "worth_waiting", &selection_settings::worthWaiting },
+    });
+
+    auto readSelection(section_reader& reader, gateway_settings& settings) -> void
+    {
+        for (auto& row : weightRows)
+            settings.selection.*row.value = readDecimal(reader, row.key, settings.selection.*row.value);
+    }
+
+    auto readLogs(section_reader& reader, gateway_settings& settings) -> void
+    {
+        settings.logLinesPerSecond = reader.number("lines_per_second", { 1, 1'000'000 }, settings.logLinesPerSecond);
+    }
+
+    struct settings_section {
+        std::string_view kind;
+        void (*read)(section_reader&, gateway_settings&);
+        bool isRequired;
+    };
+
+    constexpr auto settingsSections = std::to_array<settings_section>({
+        { "gateway", readGateway, true },
+        { "store", readStore, true },
+        { "repeats", readRepeats, false },
+        { "directory", readDirectory, false },
+        { "selection", readSelection, false },
+        { "logs", readLogs, false },
+    });
+
+    auto buildGatewaySettings(const ini_document& document) -> leaf::result<gateway_settings>
+    {
+        auto settings = gateway_settings {};
+        auto faults = fault_list {};
+        for (auto& section : document.sections) {
+            auto row = std::ranges::find(settingsSections, section.kind, &settings_section::kind);
+            if (row == settingsSections.end() || !section.name.empty()) {
+                faults.faults.push_back({ result_code::SettingsInvalid, "section [" + section.kind + "] is unknown", document.file, section.line,
+                    "known sections: [gateway] [store] [repeats] [directory] [selection] [logs]" });
+                continue;
+            }
+            auto reader = section_reader(section, document.file, result_code::SettingsInvalid, faults);
+            row->read(reader, settings);
+            reader.finish();
+        }
+        for (auto& row : settingsSections) {
+            if (row.isRequired && std::ranges::find(document.sections, row.kind, &ini_section::kind) == document.sections.end())
+                faults.faults.push_back({ result_code::SettingsInvalid, "section [" + std::string(row.kind) + "] is missing", document.file, 0, "add the section" });
+        }
+        if (faults.faults.empty())
+            return settings;
+        std::ranges::stable_sort(faults.faults, {}, &fault::line);
+        return leaf::new_error(std::move(faults));
+    }
+
+} // namespace
+
+auto parseGatewaySettings(std::string_view text, std::string_view file) -> leaf::result<gateway_settings>
+{
+    BOOST_LEAF_AUTO(document, parseIni(text, file, result_code::SettingsInvalid));
+    return buildGatewaySettings(document);
+}
+
+auto readGatewaySettings(const std::string& path) -> leaf::result<gateway_settings>
+{
+    BOOST_LEAF_AUTO(document, readIni(path, result_code::SettingsInvalid));
+    return buildGatewaySettings(document);
+}
+
+auto describesGateway(const std::string& path) -> bool
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_AUTO(document, readIni(path, result_code::SettingsInvalid));
+            return std::ranges::find(document.sections, "gateway", &ini_section::kind) != document.sections.end();
+        },
+        // The reader that comes next reports why the file cannot be read.
+        [] { return false; });
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/config/route_table_builder.cpp
@@ -0,0 +1,87 @@
+#include "gypsumhub/config/route_table_builder.h"
+
+#include <algorithm>
+
+namespace gypsumhub {
+
+namespace {
+
+    // A longer limit would outlive any caller and hold its request in memory.
+    constexpr auto longestTimeLimit = minutes(10);
+
+} // namespace
+
+auto route_table_builder::setVersion(uint64_t version) -> route_table_builder&
+{
+    m_table->m_version = version;
+    return *this;
+}
+
+auto route_table_builder::setLimits(const caller_limits& limits) -> route_table_builder&
+{
+    m_table->m_limits = limits;
+    return *this;
+}
+
+auto route_table_builder::addService(std::string name) -> route_table_builder&
+{
+    m_services.insert(std::move(name));
+    return *this;
+}
+
+auto route_table_builder::addRoute(route added) -> route_table_builder&
+{
+    m_table->m_routes.push_back(std::move(added));
+    return *this;
+}
+
+auto route_table_builder::build() -> leaf::result<std::shared_ptr<const route_table>>
+{
+    auto& table = *m_table;
+    for (auto index = uint32_t { 0 }; index < table.m_routes.size(); ++index) {
+        check(table.m_routes[index]);
+        table.m_byHost[table.m_routes[index].host].push_back(index);
+    }
+    for (auto& [host, indices] : table.m_byHost) {
+        std::ranges::sort(indices, [&](uint32_t a, uint32_t b) {
+            auto &first = table.m_routes[a].prefix, &second = table.m_routes[b].prefix;
+            return first.size() != second.size() ? first.size() > second.size() : first < second;
+        });
+        for (auto place = size_t { 1 }; place < indices.size(); ++place) {
+            if (table.m_routes[indices[place]].prefix == table.m_routes[indices[place - 1]].prefix)
+                report(table.m_routes[indices[place]], "host and prefix are already taken by route \"" + table.m_routes[indices[place - 1]].name + "\"");
+        }
+    }
+    if (!m_faults.faults.empty())
+        return leaf::new_error(std::move(m_faults));
+    return std::shared_ptr<const route_table>(std::move(m_table));
+}
+
+auto route_table_builder::check(const route& checked) -> void
+{
+    if (checked.host.empty())
+        report(checked, "host is empty");
+    if (!checked.prefix.starts_with('/') || !checked.prefix.ends_with('/'))
+        report(checked, "prefix \"" + checked.prefix + "\" does not begin and end with a slash");
+    if (checked.timeLimit <= duration {} || checked.timeLimit > longestTimeLimit)
+        report(checked, "time limit is not between 0 and 10 minutes");
+    if (checked.latencyTarget <= duration {})
+        report(checked, "latency target is not positive");
+    if (checked.maxAttempts == 0)
+        report(checked, "no attempt is allowed");
+    auto weights = uint64_t { 0 };
+    for (auto& part : checked.services) {
+        weights += part.weight;
+        if (!m_services.contains(part.service))
+            report(checked, "service \"" + part.service + "\" does not exist");
+    }
+    if (weights == 0)
+        report(checked, "no service takes its requests");
+}
+
+auto route_table_builder::report(const route& checked, std::string message) -> void
+{
+    m_faults.faults.push_back({ result_code::ConfigurationInvalid, "route \"" + checked.name + "\": " + std::move(message) });
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/decision/selection/node_roster.cpp
@@ -0,0 +1,119 @@
+#include "gypsumhub/decision/selection/node_roster.h"
+
+#include "gypsumhub/core/hash.h"
+
+#include <algorithm>
+
+namespace gypsumhub {
+
+namespace {
+
+    // Three hellos in a row were lost or the node is gone.
+    constexpr auto silenceLimit = milliseconds(1300);
+    // A reader whose last contact with the store is older hands over to the next one.
+    constexpr auto readerAgeLimit = milliseconds(1200);
+
+} // namespace
+
+node_roster::node_roster(node_registration own)
+    : m_own(std::move(own))
+{
+}
+
+auto node_roster::noteRegistered(const node_registration& registration, time_point now) -> void
+{
+    if (registration.name == m_own.name)
+        return;
+    auto& known = m_nodes[registration.name];
+    known.registration = registration;
+    known.registeredAt = now;
+}
+
+auto node_roster::noteUnregistered(std::string_view name, time_point now) -> void
+{
+    auto found = m_nodes.find(name);
+    if (found == m_nodes.end())
+        return;
+    auto isNear = found->second.registration.dataCentre == m_own.dataCentre;
+    if (!isNear || !isAlive(found->second, now))
+        m_nodes.erase(found);
+}
+
+auto node_roster::noteHello(const node_hello& hello, time_point now) -> void
+{
+    auto found = m_nodes.find(hello.name);
+    if (found == m_nodes.end())
+        return;
+    found->second.hello = hello;
+    found->second.heardAt = now;
+    found->second.isHeard = true;
+}
+
+auto node_roster::setOwn(bool isReady, bool isLeaving) -> void
+{
+    m_isReady = isReady;
+    m_isLeaving = isLeaving;
+}
+
+auto node_roster::isAlive(const node& other, time_point now) const -> bool
+{
+    // Nodes of other data centres say nothing to this one; their lease in the store speaks for them.
+    if (other.registration.dataCentre != m_own.dataCentre)
+        return true;
+    return other.isHeard && other.hello.isReady && !other.hello.isLeaving && now <= other.heardAt + silenceLimit;
+}
+
+auto node_roster::group(std::string_view host, std::string_view dataCentre, size_t count, time_point now) const -> std::vector<endpoint>
+{
+    auto hostHash = hashName(host);
+    auto ranked = std::vector<std::pair<uint64_t, endpoint>> {};
+    auto collect = [&](auto&& accept) {
+        if (m_isReady && !m_isLeaving && accept(m_own))
+            ranked.emplace_back(mixHashes(hostHash, hashName(m_own.name)), m_own.callerAddress);
+        for (auto& [name, other] : m_nodes) {
+            if (accept(other.registration) && isAlive(other, now))
+                ranked.emplace_back(mixHashes(hostHash, hashName(name)), other.registration.callerAddress);
+        }
+    };
+    collect([&](const node_registration& node) { return node.dataCentre == dataCentre; });
+    if (ranked.empty())
+        collect([](const node_registration&) { return true; });
+    std::ranges::sort(ranked);
+    auto addresses = std::vector<endpoint> {};
+    for (auto& [rank, address] : ranked) {
+        if (addresses.size() < count)
+            addresses.push_back(address);
+    }
+    return addresses;
+}
+
+auto node_roster::reader(time_point now) const -> const node_hello*
+{
+    for (auto& [name, other] : m_nodes) {
+        auto isNear = other.registration.dataCentre == m_own.dataCentre;
+        if (isNear && name < m_own.name && isAlive(other, now) && other.hello.viewAge < readerAgeLimit)
+            return &other.hello;
+    }
+    return nullptr;
+}
+
+auto node_roster::isReader(time_point now) const -> bool
+{
+    return reader(now) == nullptr;
+}
+
+auto node_roster::peers() const -> std::vector<node_registration>
+{
+    auto registrations = std::vector<node_registration> {};
+    for (auto& [name, other] : m_nodes)
+        registrations.push_back(other.registration);
+    return registrations;
+}
+
+auto node_roster::knows(std::string_view name, std::string_view address) const -> bool
+{
+    auto found = m_nodes.find(name);
+    return found != m_nodes.end() && found->second.registration.peerAddress.address == address;
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/decision/selection/registration_view.cpp
@@ -0,0 +1,115 @@
+#include "gypsumhub/decision/selection/registration_view.h"
+
+#include "gypsumhub/core/hash.h"
+
+#include <algorithm>
+
+namespace gypsumhub {
+
+namespace {
+
+    // Entries of living targets are back about 2 s after the store has recovered.
+    constexpr auto comeBackTime = milliseconds(2200);
+    constexpr auto mostRemovals = size_t { 4096 };
+
+    auto digestOf(const target_registration& entry) -> uint64_t
+    {
+        auto identity = mixHashes(hashName(entry.id), hashName(entry.service));
+        auto place = mixHashes(hashName(entry.address.address), entry.address.port);
+        auto condition = mixHashes(entry.incarnation, entry.slots * 2U + (entry.isDraining ? 1U : 0U));
+        return mixHashes(mixHashes(identity, place), condition);
+    }
+
+} // namespace
+
+auto registration_view::put(const target_registration& entry) -> std::optional<view_change>
+{
+    if (auto removed = m_removed.find(entry.id); removed != m_removed.end()) {
+        if (entry.revision <= removed->second)
+            return std::nullopt;
+        m_removed.erase(removed);
+    }
+    auto known = m_entries.find(entry.id);
+    auto isNew = known == m_entries.end();
+    if (!isNew && entry.revision < known->second.revision)
+        return std::nullopt;
+    if (auto held = m_held.find(entry.id); held != m_held.end())
+        m_held.erase(held);
+    auto matters = isNew || !known->second.routesLike(entry);
+    m_entries.insert_or_assign(entry.id, entry);
+    return matters ? std::optional(view_change { entry }) : std::nullopt;
+}
+
+auto registration_view::remove(std::string_view id, uint64_t revision, time_point now) -> std::optional<view_change>
+{
+    auto known = m_entries.find(id);
+    if (known == m_entries.end() || known->second.revision > revision)
+        return std::nullopt;
+    if (now < m_troubleUntil) {
+        m_held.try_emplace(std::string(id), m_troubleUntil);
+        return std::nullopt;
+    }
+    auto change = view_change { known->second, true };
+    change.registration.revision = std::max(revision, known->second.revision);
+    if (m_removed.size() >= mostRemovals)
+        m_removed.clear();
+    m_removed[known->first] = change.registration.revision;
+    if (auto held = m_held.find(id); held != m_held.end())
+        m_held.erase(held);
+    m_entries.erase(known);
+    return change;
+}
+
+auto registration_view::replace(std::span<const target_registration> listed, uint64_t revision, time_point now) -> std::vector<view_change>
+{
+    auto changes = std::vector<view_change> {};
+    for (auto& entry : listed) {
+        if (auto change = put(entry))
+            changes.push_back(std::move(*change));
+    }
+    auto missing = std::vector<std::string> {};
+    for (auto& [id, entry] : m_entries) {
+        if (std::ranges::find(listed, id, &target_registration::id) == listed.end())
+            missing.push_back(id);
+    }
+    for (auto& id : missing) {
+        if (auto change = remove(id, revision, now))
+            changes.push_back(std::move(*change));
+    }
+    return changes;
+}
+
+auto registration_view::noteTrouble(time_point now) -> void
+{
+    m_troubleUntil = now + comeBackTime;
+    for (auto& [id, until] : m_held)
+        until = m_troubleUntil;
+}
+
+auto registration_view::takeRemovals(time_point now) -> std::vector<view_change>
+{
+    auto due = std::vector<std::string> {};
+    for (auto& [id, until] : m_held) {
+        if (until <= now)
+            due.push_back(id);
+    }
+    auto changes = std::vector<view_change> {};
+    for (auto& id : due) {
+        m_held.erase(id);
+        if (auto entry = m_entries.find(id); entry != m_entries.end()) {
+            if (auto change = remove(id, entry->second.revision, now))
+                changes.push_back(std::move(*change));
+        }
+    }
+    return changes;
+}
+
+auto registration_view::digest() const -> uint64_t
+{
+    auto sum = uint64_t { 0 };
+    for (auto& [id, entry] : m_entries)
+        sum += digestOf(entry);
+    return sum;
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/decision/selection/registration_view.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "gypsumhub/config/target_registration.h"
+#include "gypsumhub/core/time_point.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gypsumhub {
+
+/// A change of the view that matters to routing.
+struct view_change {
+    target_registration registration;
+    bool isRemoval { false };
+};
+
+/// The registrations of all targets as of the newest revision seen, from the store or from another node.
+///
+/// The store may lose entries of living targets while it is in trouble, and they come back after it has recovered. A
+/// removal in such a time is held back for as long as a target may need to come back.
+class registration_view {
+public:
+    /// Takes in an entry; returns it when routing must change. Older revisions than the known one change nothing.
+    auto put(const target_registration&) -> std::optional<view_change>;
+    /// Takes in a removal at a revision; returns it unless it is held back.
+    auto remove(std::string_view id, uint64_t revision, time_point now) -> std::optional<view_change>;
+    /// Takes in a whole listing: what is not listed is removed.
+    auto replace(std::span<const target_registration>, uint64_t revision, time_point now) -> std::vector<view_change>;
+    /// The store did not answer, or answered after a break.
+    auto noteTrouble(time_point now) -> void;
+    /// Returns the removals whose time has come.
+    auto takeRemovals(time_point now) -> std::vector<view_change>;
+
+    /// Equal for two views that route alike.
+    auto digest() const -> uint64_t;
+    auto entries() const -> const std::map<std::string, target_registration, std::less<>>& { return m_entries; }
+
+private:
+    std::map<std::string, target_registration, std::less<>> m_entries;
+    /// Revisions of removals, so that an older entry told by another node does not bring a target back.
+    std::map<std::string, uint64_t, std::less<>> m_removed;
+    std::map<std::string, time_point, std::less<>> m_held;
+    time_point m_troubleUntil {};
+};
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/decision/selection/service_model.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "gypsumhub/decision/selection/episode_rates.h"
+#include "gypsumhub/decision/selection/target_belief.h"
+
+namespace gypsumhub {
+
+/// Learns from all outcomes of a service how its targets fail, and how long its requests take.
+class service_model {
+public:
+    /// The rates as learned so far.
+    auto rates() const -> const episode_rates& { return m_rates; }
+    /// Mean time from sending to the answer of a sound target.
+    auto meanWork() const -> duration { return m_meanWork; }
+    /// After this time without an answer a request counts as stalled.
+    auto stallAfter() const -> duration;
+
+    /// Takes in an outcome of a target that was bad with probability `bad` just before.
+    auto noteOutcome(outcome_kind, double bad) -> void;
+    /// Takes in an episode's end: the time that a target was taken for good, or for bad.
+    auto noteGoodEpisode(duration length) -> void;
+    auto noteBadEpisode(duration length) -> void;
+    /// Takes in the time that a successful request took.
+    auto noteWork(duration) -> void;
+
+private:
+    // Each rate starts as if a few outcomes had been seen already, so that the first ones do not swing it.
+    double m_goodOutcomes { 100 };
+    double m_goodFailures { 1 };
+    double m_badOutcomes { 10 };
+    double m_badFailures { 8.5 };
+    double m_goodEpisodes { 2 };
+    double m_goodSeconds { 60 };
+    double m_badEpisodes { 2 };
+    double m_badSeconds { 12 };
+    duration m_meanWork { milliseconds(250) };
+    double m_workCount { 8 };
+    episode_rates m_rates {};
+};
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/decision/selection/weighted_turns.cpp
@@ -0,0 +1,36 @@
+#include "gypsumhub/decision/selection/weighted_turns.h"
+
+#include <algorithm>
+
+namespace gypsumhub {
+
+weighted_turns::weighted_turns(std::span<const weighted_service> services, double phase)
+{
+    for (auto& service : services) {
+        m_parts.push_back({ service, phase * service.weight });
+        m_total += service.weight;
+    }
+}
+
+auto weighted_turns::next() -> std::string_view
+{
+    for (auto& part : m_parts)
+        part.credit += part.service.weight;
+    // A part of weight 0 never gains credit and must not win a tie.
+    auto least = [](const part& a, const part& b) {
+        if ((a.service.weight == 0) != (b.service.weight == 0))
+            return a.service.weight == 0;
+        return a.credit < b.credit;
+    };
+    auto& chosen = *std::ranges::max_element(m_parts, least);
+    chosen.credit -= m_total;
+    return chosen.service.service;
+}
+
+auto weighted_turns::matches(std::span<const weighted_service> services) const -> bool
+{
+    auto isSame = [](const part& own, const weighted_service& other) { return own.service.service == other.service && own.service.weight == other.weight; };
+    return std::ranges::equal(m_parts, services, isSame);
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/unit_tests/decision/selection/registration_view_test.cpp
@@ -0,0 +1,74 @@
+#include "gypsumhub/decision/selection/registration_view.h"
+
+#include <doctest/doctest.h>
+
+using namespace gypsumhub;
+
+namespace {
+
+auto at(int64_t ms) -> time_point
+{
+    return time_point {} + milliseconds(ms);
+}
+
+auto makeEntry(std::string id, uint64_t revision) -> target_registration
+{
+    auto entry = target_registration {};
+    entry.id = std::move(id);
+    entry.service = "bookdesk";
+    entry.revision = revision;
+    return entry;
+}
+
+} // namespace
+
+TEST_CASE("a heartbeat changes the revision and nothing else")
+{
+    auto view = registration_view {};
+    CHECK(view.put(makeEntry("a", 5)));
+    auto digest = view.digest();
+    CHECK_FALSE(view.put(makeEntry("a", 6)));
+    CHECK(view.digest() == digest);
+}
+
+TEST_CASE("an older entry neither changes nor brings back a target")
+{
+    auto view = registration_view {};
+    auto draining = makeEntry("a", 7);
+    draining.isDraining = true;
+    view.put(draining);
+    CHECK_FALSE(view.put(makeEntry("a", 6)));
+    CHECK(view.entries().at("a").isDraining);
+    CHECK(view.remove("a", 8, at(0)));
+    CHECK_FALSE(view.put(makeEntry("a", 7)));
+    CHECK(view.entries().empty());
+    CHECK(view.put(makeEntry("a", 9)));
+}
+
+TEST_CASE("entries that lapse while the store is in trouble are given time to come back")
+{
+    auto view = registration_view {};
+    view.put(makeEntry("stays", 1));
+    view.put(makeEntry("goes", 2));
+    view.noteTrouble(at(0));
+    CHECK_FALSE(view.remove("stays", 3, at(100)));
+    CHECK_FALSE(view.remove("goes", 4, at(100)));
+    CHECK_FALSE(view.put(makeEntry("stays", 5)));
+    CHECK(view.takeRemovals(at(1'000)).empty());
+    auto removed = view.takeRemovals(at(3'000));
+    REQUIRE(removed.size() == 1);
+    CHECK(removed.front().registration.id == "goes");
+    CHECK(view.entries().size() == 1);
+}
+
+TEST_CASE("a listing removes what it does not name, except what is newer")
+{
+    auto view = registration_view {};
+    view.put(makeEntry("old", 1));
+    view.put(makeEntry("newer", 20));
+    auto listed = std::vector<target_registration> { makeEntry("listed", 3) };
+    auto changes = view.replace(listed, 10, at(0));
+    CHECK(changes.size() == 2);
+    CHECK(view.entries().contains("newer"));
+    CHECK_FALSE(view.entries().contains("old"));
+}
--- /dev/null
+++ b/unit_tests/decision/selection/repeat_allowance_test.cpp
@@ -0,0 +1,61 @@
+#include "gypsumhub/decision/selection/repeat_allowance.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace gypsumhub;
+
+namespace {
+
+auto at(int64_t ms) -> time_point
+{
+    return time_point {} + milliseconds(ms);
+}
+
+struct fleet_record {
+    std::vector<int64_t> requests;
+    std::vector<int64_t> repeats;
+
+    // The most by which repeats exceed the bound in any window of ten seconds.
+    auto worstExcess() const -> double
+    {
+        auto worst = -1e9;
+        for (auto end = int64_t { 0 }; end <= 40'000; end += 100) {
+            auto inWindow = [&](const std::vector<int64_t>& times, int64_t last) {
+                return static_cast<double>(std::ranges::count_if(times, [&](int64_t ms) { return ms > last - 10'000 && ms <= last; }));
+            };
+            auto most = std::max({ inWindow(requests, end), inWindow(requests, end - 5'000), inWindow(requests, end - 10'000) });
+            worst = std::max(worst, inWindow(repeats, end) - (0.2 * most + 60));
+        }
+        return worst;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a service that declines all and a fleet that restarts in the middle keep the fleet-wide bound")
+{
+    auto record = fleet_record {};
+    auto nodes = std::vector<repeat_allowance>(8, repeat_allowance({}));
+    for (auto ms = int64_t { 0 }; ms < 40'000; ms += 10) {
+        if (ms == 17'000)
+            std::ranges::fill(nodes, repeat_allowance({}));
+        auto& node = nodes[static_cast<size_t>(ms / 10) % nodes.size()];
+        node.noteRequest(at(ms));
+        record.requests.push_back(ms);
+        if (node.take(at(ms), 0.5 / 8))
+            record.repeats.push_back(ms);
+    }
+    CHECK(record.worstExcess() <= 0);
+    // The allowance is there to be used: at least half of the share.
+    CHECK(record.repeats.size() > record.requests.size() / 10);
+}
+
+TEST_CASE("a node outside the group has no part of the reserve")
+{
+    auto allowance = repeat_allowance({});
+    allowance.noteRequest(at(0));
+    CHECK_FALSE(allowance.take(at(0), 0));
+    CHECK(allowance.take(at(0), 0.1));
+}
