Adapter of the users' platform: store calls, configuration, registrations and directory

Names are decoded once; deploy/wire.toml takes plain bodies and times as text, which spares the adapter tables of columns and unit conversions. It decides nothing. Ruled out: the platform's default shapes (columns, strings), which need about 150 lines more.

--- /dev/null
+++ b/gypsumhub/platform/directory_document.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "gypsumhub/config/configuration.h"
+#include "gypsumhub/core/time_point.h"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace gypsumhub {
+
+/// What a caller asks the directory.
+struct directory_question {
+    std::string host;
+    /// The caller's own data centre.
+    std::string dataCentre;
+};
+
+/// The question in a request target, or nothing when it asks something else.
+auto readDirectoryQuestion(std::string_view target) -> std::optional<directory_question>;
+
+/// The body of an answer. `lifetime` is how long the caller may keep it.
+auto formatDirectoryAnswer(std::span<const endpoint>, duration lifetime) -> std::string;
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/platform/document_fields.cpp
@@ -0,0 +1,69 @@
+#include "gypsumhub/platform/document_fields.h"
+
+#include "gypsumhub/config/section_reader.h"
+
+#include <boost/json/parse.hpp>
+
+namespace gypsumhub {
+
+namespace json = boost::json;
+
+document_fields::document_fields(const json::object& object, std::string where)
+    : m_object(object)
+    , m_where(std::move(where))
+{
+}
+
+auto document_fields::find(std::string_view name) const -> const json::value*
+{
+    auto* value = m_object.if_contains(name);
+    return value && !value->is_null() ? value : nullptr;
+}
+
+auto document_fields::text(std::string_view name) -> std::string
+{
+    auto* value = find(name);
+    if (value && value->is_string() && !value->as_string().empty())
+        return std::string(value->as_string());
+    report(name, "is no text");
+    return {};
+}
+
+auto document_fields::number(std::string_view name, uint64_t least, uint64_t most) -> uint64_t
+{
+    auto* value = find(name);
+    auto error = boost::system::error_code {};
+    auto number = value ? value->to_number<uint64_t>(error) : 0;
+    if (value && !error && number >= least && number <= most)
+        return number;
+    report(name, "is no whole number from " + std::to_string(least) + " to " + std::to_string(most));
+    return least;
+}
+
+auto document_fields::length(std::string_view name) -> duration
+{
+    auto* value = find(name);
+    auto parsed = value && value->is_string() ? parseDuration(value->as_string()) : std::nullopt;
+    if (parsed)
+        return *parsed;
+    report(name, "is no length of time such as \"250ms\"");
+    return {};
+}
+
+auto document_fields::report(std::string_view name, std::string_view what) -> void
+{
+    m_faults.faults.push_back({ result_code::ConfigurationInvalid, m_where + ": \"" + std::string(name) + "\" " + std::string(what) });
+}
+
+auto parseDocument(std::string_view text, std::string_view what) -> leaf::result<json::object>
+{
+    auto error = boost::system::error_code {};
+    auto value = json::parse(text, error);
+    if (error)
+        return failWith({ result_code::ConfigurationInvalid, std::string(what) + " is no JSON: " + error.message() });
+    if (!value.is_object())
+        return failWith({ result_code::ConfigurationInvalid, std::string(what) + " is no JSON object" });
+    return std::move(value.as_object());
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/platform/kv_client.cpp
@@ -0,0 +1,228 @@
+#include "gypsumhub/platform/kv_client.h"
+
+#include "gypsumhub/config/section_reader.h"
+#include "gypsumhub/core/clock.h"
+#include "gypsumhub/core/deadline_timer.h"
+#include "gypsumhub/store/base64.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace gypsumhub {
+
+namespace {
+
+    namespace json = boost::json;
+
+    // A page of a listing holds at most 1 MB, base64 included.
+    constexpr auto largestAnswer = size_t { 4 * 1024 * 1024 };
+    // The answer to a waiting watch travels and may be slow beyond the wait itself.
+    constexpr auto watchGrace = milliseconds(1500);
+    constexpr auto longestIdle = milliseconds(1000);
+    constexpr auto mostIdleConnections = size_t { 3 };
+
+    auto statusOf(unsigned httpStatus) -> keyspace_status
+    {
+        if (httpStatus == 200)
+            return keyspace_status::Ok;
+        if (httpStatus == 410)
+            return keyspace_status::HistoryGone;
+        return httpStatus == 404 ? keyspace_status::LeaseGone : keyspace_status::Refused;
+    }
+
+    auto numberAt(const json::object& object, std::string_view name) -> uint64_t
+    {
+        auto* value = object.if_contains(name);
+        auto error = error_code {};
+        auto number = value ? value->to_number<uint64_t>(error) : 0;
+        return error ? 0 : number;
+    }
+
+    auto textAt(const json::object& object, std::string_view name) -> std::string
+    {
+        auto* value = object.if_contains(name);
+        return value && value->is_string() ? std::string(value->as_string()) : std::string {};
+    }
+
+    auto entryOf(const json::object& item) -> store_entry
+    {
+        return { textAt(item, "key"), fromBase64(textAt(item, "value")).value_or(std::string {}), numberAt(item, "rev") };
+    }
+
+    auto escapeQuery(std::string_view text) -> std::string
+    {
+        constexpr auto plain = std::string_view { "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.~/" };
+        constexpr auto digits = std::string_view { "0123456789ABCDEF" };
+        auto escaped = std::string {};
+        for (auto letter : text) {
+            auto byte = static_cast<unsigned char>(letter);
+            if (plain.find(letter) != std::string_view::npos)
+                escaped += letter;
+            else
+                escaped.append({ '%', digits[byte >> 4], digits[byte & 15] });
+        }
+        return escaped;
+    }
+
+    auto arrayAt(const json::value& body, std::string_view name) -> const json::array*
+    {
+        auto* object = body.if_object();
+        auto* value = object ? object->if_contains(name) : nullptr;
+        return value ? value->if_array() : nullptr;
+    }
+
+} // namespace
+
+struct kv_client::connection {
+    explicit connection(asio::io_context& context)
+        : socket(context.get_executor())
+        , timer(context.get_executor())
+    {
+    }
+
+    tcp_socket socket;
+    deadline_timer timer;
+    beast::flat_buffer buffer;
+    time_point idleSince {};
+};
+
+kv_client::kv_client(asio::io_context& context, const endpoint& store)
+    : m_context(context)
+    , m_store(store)
+{
+}
+
+kv_client::~kv_client() = default;
+
+auto kv_client::takeConnection() -> std::unique_ptr<connection>
+{
+    // The path may have died unnoticed while a connection was idle.
+    std::erase_if(m_idle, [now = bootClockNow()](auto& idle) { return idle->idleSince + longestIdle < now; });
+    if (m_idle.empty())
+        return std::make_unique<connection>(m_context);
+    auto taken = std::move(m_idle.back());
+    m_idle.pop_back();
+    return taken;
+}
+
+auto kv_client::call(http::verb method, std::string path, std::string body, time_point deadline) -> task<reply>
+{
+    ++m_calls;
+    auto used = takeConnection();
+    // The socket is closed at the deadline, which ends whatever operation waits on it.
+    used->timer.arm(deadline, [&socket = used->socket] { closeNow(socket); });
+    if (!used->socket.is_open()) {
+        auto address = asio::ip::make_address(m_store.address);
+        auto [error] = co_await used->socket.async_connect({ address, m_store.port }, useTask);
+        if (error)
+            co_return reply {};
+        setNoDelay(used->socket);
+        setShortKeepAlive(used->socket);
+    }
+    auto request = http::request<http::string_body>(method, path, 11, std::move(body));
+    request.set(http::field::host, formatEndpoint(m_store));
+    if (!request.body().empty())
+        request.set(http::field::content_type, "application/json");
+    request.prepare_payload();
+    auto [writeError, written] = co_await http::async_write(used->socket, request, useTask);
+    if (writeError)
+        co_return reply {};
+    auto parser = http::response_parser<http::string_body> {};
+    parser.body_limit(largestAnswer);
+    auto [readError, read] = co_await http::async_read(used->socket, used->buffer, parser, useTask);
+    if (readError)
+        co_return reply {};
+    used->timer.disarm();
+    auto parseError = error_code {};
+    auto result = reply { statusOf(parser.get().result_int()), json::parse(parser.get().body(), parseError) };
+    if (parseError && result.status == keyspace_status::Ok && !parser.get().body().empty())
+        result.status = keyspace_status::Refused;
+    used->idleSince = bootClockNow();
+    if (parser.get().keep_alive() && m_idle.size() < mostIdleConnections)
+        m_idle.push_back(std::move(used));
+    co_return result;
+}
+
+auto kv_client::list(std::string prefix, time_point deadline) -> task<keyspace_result<key_listing>>
+{
+    auto result = keyspace_result<key_listing> { keyspace_status::Ok };
+    auto after = std::string {};
+    for (auto hasMore = true; hasMore;) {
+        auto path = "/gypsumhub/kv-range?prefix=" + escapeQuery(prefix);
+        if (!after.empty())
+            path += "&after=" + escapeQuery(after);
+        auto page = co_await call(http::verb::get, std::move(path), {}, deadline);
+        auto* items = arrayAt(page.body, "items");
+        if (page.status != keyspace_status::Ok || !items)
+            co_return keyspace_result<key_listing> { page.status == keyspace_status::Ok ? keyspace_status::Refused : page.status };
+        for (auto& item : *items) {
+            if (item.is_object())
+                result.value.entries.push_back(entryOf(item.as_object()));
+        }
+        auto& body = page.body.as_object();
+        // Later pages may be newer; whatever changed since the first one is seen again by following from its revision.
+        if (result.value.revision == 0)
+            result.value.revision = numberAt(body, "store_revision");
+        auto* more = body.if_contains("has_more");
+        hasMore = more && more->is_bool() && more->as_bool() && !result.value.entries.empty();
+        if (hasMore)
+            after = result.value.entries.back().key;
+    }
+    co_return result;
+}
+
+auto kv_client::follow(std::string prefix, uint64_t revision, time_point waitUntil) -> task<keyspace_result<key_changes>>
+{
+    auto wait = std::max<int64_t>((waitUntil - bootClockNow()).milliseconds(), 1);
+    auto path = "/gypsumhub/kv-watch?prefix=" + escapeQuery(prefix) + "&after=" + std::to_string(revision) + "&wait_ms=" + std::to_string(wait);
+    auto answer = co_await call(http::verb::get, std::move(path), {}, waitUntil + watchGrace);
+    auto result = keyspace_result<key_changes> { answer.status };
+    auto* events = arrayAt(answer.body, "events");
+    if (answer.status != keyspace_status::Ok)
+        co_return result;
+    if (!events) {
+        result.status = keyspace_status::Refused;
+        co_return result;
+    }
+    for (auto& event : *events) {
+        if (!event.is_object())
+            continue;
+        auto* removed = event.as_object().if_contains("deleted");
+        result.value.changes.push_back({ entryOf(event.as_object()), removed && removed->is_bool() && removed->as_bool() });
+    }
+    result.value.revision = std::max(numberAt(answer.body.as_object(), "store_revision"), revision);
+    co_return result;
+}
+
+auto kv_client::grantLease(duration ttl, time_point deadline) -> task<keyspace_result<uint64_t>>
+{
+    auto body = json::object { { "lease_ttl", std::to_string(ttl.milliseconds()) + "ms" } };
+    auto answer = co_await call(http::verb::post, "/gypsumhub/kv-lease", json::serialize(body), deadline);
+    auto* granted = answer.body.if_object();
+    if (answer.status != keyspace_status::Ok || !granted)
+        co_return keyspace_result<uint64_t> { answer.status };
+    co_return keyspace_result<uint64_t> { keyspace_status::Ok, numberAt(*granted, "lease") };
+}
+
+auto kv_client::renewLease(uint64_t lease, time_point deadline) -> task<keyspace_status>
+{
+    auto answer = co_await call(http::verb::post, "/gypsumhub/kv-keep/" + std::to_string(lease), {}, deadline);
+    co_return answer.status;
+}
+
+auto kv_client::endLease(uint64_t lease, time_point deadline) -> task<keyspace_status>
+{
+    auto answer = co_await call(http::verb::delete_, "/gypsumhub/kv-lease-end/" + std::to_string(lease), {}, deadline);
+    co_return answer.status;
+}
+
+auto kv_client::put(std::string key, std::string value, uint64_t lease, time_point deadline) -> task<keyspace_status>
+{
+    auto write = json::object { { "key", key }, { "value", toBase64(value) }, { "lease", lease } };
+    auto body = json::object { { "expected", json::array {} }, { "puts", json::array { write } }, { "remove", json::array {} } };
+    auto answer = co_await call(http::verb::post, "/gypsumhub/kv-txn", json::serialize(body), deadline);
+    co_return answer.status;
+}
+
+} // namespace gypsumhub
