--- /dev/null
+++ b/gypsumhub/gateway/caller_link.cpp
@@ -0,0 +1,162 @@
+#include "gypsumhub/gateway/caller_link.h"
+
+#include "gypsumhub/core/clock.h"
+
+#include <boost/asio/write.hpp>
+#include <sys/socket.h>
+
+namespace gypsumhub {
+
+namespace {
+
+    constexpr auto readChunk = size_t { 8 * 1024 };
+    // A caller that does not take its answer for so long is gone.
+    constexpr auto writeLimit = seconds(10);
+    // Time for the caller to read a refusal before the connection is reset by its unread bytes.
+    constexpr auto lingerLimit = milliseconds(300);
+
+    auto limitsOf(const gateway_context& context) -> caller_limits
+    {
+        return context.routes ? context.routes->limits() : caller_limits {};
+    }
+
+    auto statusOf(result_code code, bool hasHeader) -> unsigned
+    {
+        if (code == result_code::RequestTooLarge)
+            return hasHeader ? 413 : 431;
+        return code == result_code::RequestTooSlow ? 408 : 400;
+    }
+
+} // namespace
+
+caller_link::caller_link(gateway_context& context, tcp_socket socket)
+    : m_context(context)
+    , m_socket(std::move(socket))
+    , m_timer(context.io.get_executor())
+{
+    setNoDelay(m_socket);
+}
+
+auto caller_link::run() -> task<>
+{
+    for (auto isOpen = true; isOpen;) {
+        auto limits = limitsOf(m_context);
+        auto reader = request_reader({ limits.headerBytes, limits.bodyBytes });
+        auto ended = co_await readRequest(reader);
+        switch (ended) {
+        case read_end::Request:
+            isOpen = co_await answerRequest(reader.release());
+            break;
+        case read_end::Failed:
+            ++m_context.counters.badRequests;
+            m_context.log.write(log_class::Notable, "request_refused",
+                { { "reason", describe(reader.fault()).name }, { "has_header", reader.hasHeader() } });
+            co_await answerFault(statusOf(reader.fault() == result_code::Ok ? result_code::RequestTooSlow : reader.fault(), reader.hasHeader()));
+            isOpen = false;
+            break;
+        case read_end::Closed:
+            isOpen = false;
+            break;
+        }
+    }
+    closeNow(m_socket);
+}
+
+auto caller_link::readRequest(request_reader& reader) -> task<read_end>
+{
+    auto limits = limitsOf(m_context);
+    auto hasBegun = m_buffer.size() > 0;
+    auto isLate = false;
+    auto cut = [this, &isLate] {
+        isLate = true;
+        auto ignored = error_code {};
+        m_socket.cancel(ignored);
+    };
+    m_timer.arm(bootClockNow() + (hasBegun ? limits.headerReadLimit : limits.idleLimit), cut);
+    for (;;) {
+        auto data = m_buffer.data();
+        m_buffer.consume(reader.feed({ static_cast<const char*>(data.data()), data.size() }));
+        if (reader.state() == request_reader::progress::Done || reader.state() == request_reader::progress::Failed)
+            break;
+        if (reader.state() == request_reader::progress::ExpectsContinue) {
+            constexpr auto proceed = std::string_view { "HTTP/1.1 100 Continue\r\n\r\n" };
+            co_await asio::async_write(m_socket, asio::buffer(proceed), useTask);
+            reader.resume();
+        }
+        auto [error, count] = co_await m_socket.async_read_some(m_buffer.prepare(readChunk), useTask);
+        if (error) {
+            m_timer.disarm();
+            // An idle connection that ends is nothing to answer.
+            co_return isLate&& hasBegun ? read_end::Failed : read_end::Closed;
+        }
+        m_buffer.commit(count);
+        if (!hasBegun) {
+            hasBegun = true;
+            m_timer.arm(bootClockNow() + limits.headerReadLimit, cut);
+        } else if (reader.hasHeader())
+            m_timer.arm(bootClockNow() + limits.idleLimit, cut);
+    }
+    m_timer.disarm();
+    m_readAt = bootClockNow();
+    co_return reader.state() == request_reader::progress::Done ? read_end::Request : read_end::Failed;
+}
+
+auto caller_link::watchCaller(std::shared_ptr<request_run> run) -> void
+{
+    m_watched = std::move(run);
+    m_socket.async_wait(tcp_socket::wait_read, [self = shared_from_this(), watched = m_watched](const error_code& error) {
+        if (error || self->m_watched != watched)
+            return;
+        auto byte = char {};
+        auto count = ::recv(self->m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        // Bytes are the next request, which waits its turn; no bytes are the end of the caller's side.
+        if (count == 0 || (count < 0 && errno != EAGAIN))
+            watched->callerLeft();
+    });
+}
+
+auto caller_link::answerRequest(inbound_message message) -> task<bool>
+{
+    auto keepOpen = message.keep_alive();
+    auto isHead = message.method() == http::verb::head;
+    auto run = std::make_shared<request_run>(m_context, std::move(message), m_readAt);
+    watchCaller(run);
+    auto reply = co_await run->run();
+    m_watched.reset();
+    auto ignored = error_code {};
+    m_socket.cancel(ignored);
+    auto isOpen = co_await writeReply(std::move(reply), keepOpen && !m_context.isStopping, isHead);
+    co_return isOpen;
+}
+
+auto caller_link::writeReply(caller_reply reply, bool keepOpen, bool isHead) -> task<bool>
+{
+    reply.version(11);
+    reply.keep_alive(keepOpen);
+    auto status = reply.result_int();
+    auto hasNoBody = status == 204 || status == 304;
+    // An answer to HEAD states the length of a body that does not follow.
+    if (!hasNoBody && !(isHead && reply.has_content_length()))
+        reply.content_length(reply.body().size());
+    m_timer.arm(bootClockNow() + writeLimit, [this] { closeNow(m_socket); });
+    auto [error, written] = co_await http::async_write(m_socket, reply, useTask);
+    m_timer.disarm();
+    co_return !error && keepOpen;
+}
+
+auto caller_link::answerFault(unsigned status) -> task<>
+{
+    co_await writeReply(caller_reply(http::int_to_status(status), 11), false, false);
+    auto ignored = error_code {};
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    m_timer.arm(bootClockNow() + lingerLimit, [this] { closeNow(m_socket); });
+    // What the caller still sends is read and dropped, so that it sees the answer and no reset.
+    for (auto isOpen = true; isOpen;) {
+        m_buffer.clear();
+        auto [error, count] = co_await m_socket.async_read_some(m_buffer.prepare(readChunk), useTask);
+        isOpen = !error;
+    }
+    m_timer.disarm();
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/gateway/caller_link.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "gypsumhub/gateway/request_run.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <memory>
+
+namespace gypsumhub {
+
+/// One caller's connection: reads requests one after the other and answers each.
+class caller_link : public std::enable_shared_from_this<caller_link> {
+public:
+    caller_link(gateway_context&, tcp_socket);
+
+    auto run() -> task<>;
+
+private:
+    enum class read_end : uint8_t { Request,
+        Closed,
+        Failed };
+
+    auto readRequest(request_reader&) -> task<read_end>;
+    auto answerRequest(inbound_message) -> task<bool>;
+    auto answerFault(unsigned status) -> task<>;
+    auto writeReply(caller_reply, bool keepOpen, bool isHead) -> task<bool>;
+    auto watchCaller(std::shared_ptr<request_run>) -> void;
+
+    gateway_context& m_context;
+    tcp_socket m_socket;
+    deadline_timer m_timer;
+    beast::flat_buffer m_buffer;
+    time_point m_readAt {};
+    /// The request under way, while the caller's end is watched.
+    std::shared_ptr<request_run> m_watched;
+};
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/gateway/gateway_counters.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "gypsumhub/core/time_point.h"
+
+#include <array>
+#include <cstdint>
+#include <span>
+
+namespace gypsumhub {
+
+/// Counts lengths of time by upper bound.
+class latency_histogram {
+public:
+    /// Upper bounds in milliseconds, fitting deadlines of one to a few seconds.
+    static constexpr auto bounds = std::to_array<int64_t>({ 5, 10, 25, 50, 100, 200, 400, 800, 1500, 3000, 6000 });
+
+    auto note(duration) -> void;
+    /// Counts by bound; the last one holds what exceeds all bounds.
+    auto counts() const -> std::span<const uint64_t> { return m_counts; }
+    auto sum() const -> duration { return m_sum; }
+
+private:
+    std::array<uint64_t, bounds.size() + 1> m_counts {};
+    duration m_sum {};
+};
+
+/// What a node has counted since its start.
+struct gateway_counters {
+    uint64_t requests { 0 };
+    uint64_t answered { 0 };
+    uint64_t targetFailures { 0 };
+    uint64_t refused { 0 };
+    uint64_t unknownOutcomes { 0 };
+    uint64_t noRoute { 0 };
+    uint64_t badRequests { 0 };
+    uint64_t callersGone { 0 };
+    uint64_t repeats { 0 };
+    uint64_t repeatsDenied { 0 };
+    uint64_t declinedByTarget { 0 };
+    uint64_t connectFailures { 0 };
+    uint64_t newConnections { 0 };
+    uint64_t outcomesTold { 0 };
+    uint64_t outcomesHeard { 0 };
+    uint64_t storeFailures { 0 };
+    uint64_t badDatagrams { 0 };
+    latency_histogram waitTime;
+    latency_histogram workTime;
+    latency_histogram wholeTime;
+};
+
+/// One counter with its name and help text for the metrics page.
+struct counter_row {
+    const char* name;
+    const char* help;
+    uint64_t gateway_counters::*value;
+};
+
+auto counterTable() -> std::span<const counter_row>;
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/gateway/gateway_metrics.cpp
@@ -0,0 +1,57 @@
+#include "gypsumhub/core/clock.h"
+#include "gypsumhub/gateway/gateway_node.h"
+#include "gypsumhub/operator/metric_set.h"
+
+namespace gypsumhub {
+
+namespace {
+
+    struct histogram_row {
+        const char* name;
+        const char* help;
+        latency_histogram gateway_counters::*value;
+    };
+
+    constexpr auto histograms = std::to_array<histogram_row>({
+        { "wait_seconds", "From the arrival of a request to its placement.", &gateway_counters::waitTime },
+        { "work_seconds", "From sending to a target to the end of the exchange.", &gateway_counters::workTime },
+        { "request_seconds", "From the arrival of a request to its answer.", &gateway_counters::wholeTime },
+    });
+
+    auto addHistogram(metric_set& metrics, const histogram_row& row, const latency_histogram& histogram) -> void
+    {
+        auto name = std::string(row.name);
+        auto total = uint64_t { 0 };
+        for (auto index = size_t { 0 }; index < histogram.counts().size(); ++index) {
+            total += histogram.counts()[index];
+            auto isLast = index == latency_histogram::bounds.size();
+            auto bound = isLast ? std::string("+Inf") : std::to_string(static_cast<double>(latency_histogram::bounds[index]) * 1e-3);
+            metrics.addCounter(name + "_bucket", row.help, static_cast<double>(total), { { "le", bound } });
+        }
+        metrics.addCounter(name + "_sum", row.help, histogram.sum().seconds());
+        metrics.addCounter(name + "_count", row.help, static_cast<double>(total));
+    }
+
+} // namespace
+
+auto formatGatewayMetrics(const gateway_context& context, uint64_t storeCalls) -> std::string
+{
+    auto metrics = metric_set {};
+    for (auto& row : counterTable())
+        metrics.addCounter(row.name, row.help, static_cast<double>(context.counters.*row.value));
+    for (auto& row : histograms)
+        addHistogram(metrics, row, context.counters.*row.value);
+    metrics.addCounter("store_calls_total", "Calls to the store.", static_cast<double>(storeCalls));
+    metrics.addCounter("log_lines_dropped_total", "Log lines beyond the limit.", static_cast<double>(context.log.dropped()));
+    metrics.addGauge("configuration_version", "Version of the configuration in force.", context.routes ? static_cast<double>(context.routes->version()) : 0);
+    metrics.addGauge("registrations_age_seconds", "Time since the registrations were known to be the store's.", (bootClockNow() - context.viewConfirmedAt).seconds());
+    metrics.addGauge("open_requests", "Requests that are not answered yet.", context.openRequests);
+    metrics.addGauge("idle_target_connections", "Idle connections to targets.", static_cast<double>(context.links.size()));
+    for (auto& [service, lane] : context.lanes) {
+        metrics.addGauge("waiting_requests", "Requests that wait for a target.", static_cast<double>(lane->waiting()), { { "service", service } });
+        metrics.addGauge("requests_at_targets", "Requests at targets.", lane->inFlight(), { { "service", service } });
+    }
+    return metrics.toText();
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -0,0 +1,231 @@
+#include "gypsumhub/gateway/gateway_node.h"
+
+#include "gypsumhub/config/gateway_settings_reader.h"
+#include "gypsumhub/core/clock.h"
+#include "gypsumhub/gateway/caller_link.h"
+#include "gypsumhub/platform/directory_document.h"
+#include "gypsumhub/platform/wire_names.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <csignal>
+
+namespace gypsumhub {
+
+namespace {
+
+    // Stalls, waits and logs are looked after this often while there are requests, and rarely otherwise.
+    constexpr auto busyTick = milliseconds(50);
+    constexpr auto idleTick = milliseconds(250);
+    constexpr auto helloInterval = milliseconds(400);
+    constexpr auto sweepInterval = milliseconds(1000);
+    // The process ends this long before it would be killed.
+    constexpr auto stopMargin = milliseconds(400);
+    // New requests come too late for the planned stop when their work would outlast it.
+    constexpr auto refusalMargin = milliseconds(1300);
+    constexpr auto acceptPause = milliseconds(20);
+
+} // namespace
+
+gateway_node::gateway_node(gateway_settings settings, std::string settingsFile)
+    : m_settingsFile(std::move(settingsFile))
+    , m_context(std::move(settings))
+    , m_store(m_context.io, m_context.settings.storeAddress)
+    , m_follower(m_context, m_store, { [this](std::span<const view_change> changes) {
+        for (auto first = size_t { 0 }; first < changes.size(); first += mostDatagramEntries) {
+            auto part = changes.subspan(first, std::min(mostDatagramEntries, changes.size() - first));
+            m_peers.send({ m_context.settings.name, std::vector<view_change>(part.begin(), part.end()) }, nearPeers());
+        } }, [this] { sendHello(); } })
+    , m_peers(m_context.io, [this](std::optional<node_datagram> datagram, std::string_view address) { takeDatagram(std::move(datagram), address); })
+    , m_readiness(m_context.io, [this](std::string_view target) { return answerReadiness(target); })
+    , m_directory(m_context.io, [this](std::string_view target) { return answerDirectory(target); })
+    , m_metrics(m_context.io, [this](std::string_view) { return short_answer { 200, "text/plain; version=0.0.4", formatGatewayMetrics(m_context, m_store.callCount()) }; })
+    , m_callers(m_context.io.get_executor())
+    , m_signals(m_context.io, SIGTERM, SIGINT, SIGHUP)
+{
+    m_context.tell = [this](std::vector<told_outcome> outcomes) { m_peers.send({ m_context.settings.name, std::move(outcomes) }, m_context.roster.peers()); };
+}
+
+auto gateway_node::run() -> leaf::result<void>
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    auto& settings = m_context.settings;
+    BOOST_LEAF_CHECK(openListener(m_callers, settings.callerAddress));
+    BOOST_LEAF_CHECK(m_readiness.listen(settings.readinessAddress));
+    BOOST_LEAF_CHECK(m_directory.listen(settings.directoryAddress));
+    if (settings.metricsAddress.port != 0)
+        BOOST_LEAF_CHECK(m_metrics.listen(settings.metricsAddress));
+    BOOST_LEAF_CHECK(m_peers.open(settings.peerAddress));
+    m_context.log.write(log_class::Notable, "started", { { "node", settings.name }, { "data_centre", settings.dataCentre } });
+    waitForSignal();
+    m_follower.start();
+    asio::co_spawn(m_context.io.get_executor(), acceptCallers(), asio::detached);
+    asio::co_spawn(m_context.io.get_executor(), tick(), asio::detached);
+    m_context.io.run();
+    m_context.log.write(log_class::Notable, "stopped", { { "node", settings.name }, { "open_requests", m_context.openRequests } });
+    m_context.log.flush();
+    return {};
+}
+
+auto gateway_node::acceptCallers() -> task<>
+{
+    auto timer = steady_timer(m_context.io.get_executor());
+    for (;;) {
+        auto socket = tcp_socket(m_context.io.get_executor());
+        auto [error] = co_await m_callers.async_accept(socket, useTask);
+        if (error) {
+            co_await sleepUntil(timer, bootClockNow() + acceptPause);
+            continue;
+        }
+        auto link = std::make_shared<caller_link>(m_context, std::move(socket));
+        auto serve = [](std::shared_ptr<caller_link> served) -> task<> { co_await served->run(); };
+        asio::co_spawn(m_context.io.get_executor(), serve(std::move(link)), asio::detached);
+    }
+}
+
+auto gateway_node::tick() -> task<>
+{
+    auto timer = steady_timer(m_context.io.get_executor());
+    for (;;) {
+        auto now = bootClockNow();
+        checkStalls(now);
+        for (auto& [service, lane] : m_context.lanes)
+            lane->pump();
+        m_follower.tick();
+        if (now >= m_nextHello)
+            sendHello();
+        if (now >= m_nextSweep) {
+            m_context.links.sweep(now);
+            m_nextSweep = now + sweepInterval;
+        }
+        m_context.log.flush();
+        co_await sleepUntil(timer, now + (m_context.openRequests > 0 ? busyTick : idleTick));
+    }
+}
+
+auto gateway_node::checkStalls(time_point now) -> void
+{
+    // Noting a stall may end attempts, so the overdue ones are collected first.
+    auto overdue = std::vector<std::pair<std::shared_ptr<target_state>, std::function<void()>>> {};
+    for (auto& attempt : m_context.attempts) {
+        auto limit = m_context.board.model(attempt.target->registration.service).stallAfter();
+        if (attempt.isStalled || now < attempt.sentAt + limit)
+            continue;
+        attempt.isStalled = true;
+        m_context.noteOutcome(*attempt.target, outcome_kind::Stall, now, true);
+        overdue.emplace_back(attempt.target, attempt.onStall);
+    }
+    for (auto& [target, onStall] : overdue)
+        onStall();
+}
+
+auto gateway_node::isReady() const -> bool
+{
+    return m_context.routes && m_follower.hasTargets() && !m_context.isStopping;
+}
+
+auto gateway_node::nearPeers() const -> std::vector<node_registration>
+{
+    auto peers = m_context.roster.peers();
+    std::erase_if(peers, [&](auto& peer) { return peer.dataCentre != m_context.settings.dataCentre; });
+    return peers;
+}
+
+auto gateway_node::sendHello() -> void
+{
+    auto now = bootClockNow();
+    m_nextHello = now + helloInterval;
+    m_context.roster.setOwn(isReady(), m_context.isStopping);
+    auto hello = node_hello { m_context.settings.name, isReady(), m_context.isStopping, m_context.routes ? m_context.routes->version() : 0,
+        m_context.view.digest(), now - m_context.viewConfirmedAt };
+    m_peers.send({ m_context.settings.name, hello }, nearPeers());
+}
+
+auto gateway_node::takeDatagram(std::optional<node_datagram> datagram, std::string_view address) -> void
+{
+    if (!datagram || !m_context.roster.knows(datagram->sender, address)) {
+        ++m_context.counters.badDatagrams;
+        return;
+    }
+    if (auto* hello = std::get_if<node_hello>(&datagram->content)) {
+        m_context.roster.noteHello(*hello, bootClockNow());
+        m_follower.takeHello(*hello);
+    } else if (auto* outcomes = std::get_if<std::vector<told_outcome>>(&datagram->content)) {
+        for (auto& outcome : *outcomes)
+            m_context.noteTold(outcome, datagram->sender);
+    } else if (auto* changes = std::get_if<std::vector<view_change>>(&datagram->content))
+        m_follower.takeChanges(*changes);
+}
+
+auto gateway_node::answerReadiness(std::string_view target) -> short_answer
+{
+    if (target != wire_names::readinessPath)
+        return { 404 };
+    return { isReady() ? 200U : 503U };
+}
+
+auto gateway_node::answerDirectory(std::string_view target) -> short_answer
+{
+    auto question = readDirectoryQuestion(target);
+    if (!question)
+        return { 404 };
+    auto& settings = m_context.settings;
+    m_context.roster.setOwn(isReady(), m_context.isStopping);
+    auto nodes = m_context.roster.group(question->host, question->dataCentre, settings.directoryNodes, bootClockNow());
+    if (nodes.empty())
+        return { 503 };
+    return { 200, "application/json", formatDirectoryAnswer(nodes, settings.directoryLifetime) };
+}
+
+auto gateway_node::waitForSignal() -> void
+{
+    m_signals.async_wait([this](const error_code& error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP)
+            reload();
+        else
+            beginStop();
+        waitForSignal();
+    });
+}
+
+auto gateway_node::beginStop() -> void
+{
+    if (m_context.isStopping)
+        return;
+    auto now = bootClockNow();
+    auto end = now + m_context.settings.stopLimit - stopMargin;
+    m_context.isStopping = true;
+    m_context.refuseFrom = end - refusalMargin;
+    m_context.log.write(log_class::Notable, "stopping", { { "open_requests", m_context.openRequests } });
+    sendHello();
+    m_follower.unregister();
+    auto finish = [this, end]() -> task<> {
+        auto timer = steady_timer(m_context.io.get_executor());
+        co_await sleepUntil(timer, end);
+        m_context.io.stop();
+    };
+    asio::co_spawn(m_context.io.get_executor(), std::move(finish), asio::detached);
+}
+
+auto gateway_node::reload() -> void
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(read, readGatewaySettings(m_settingsFile));
+            // Addresses stay as they are for as long as the process runs.
+            m_context.settings.directoryLifetime = read.directoryLifetime;
+            m_context.settings.directoryNodes = read.directoryNodes;
+            m_context.settings.stopLimit = read.stopLimit;
+            m_context.log.write(log_class::Notable, "reloaded", { { "file", m_settingsFile } });
+            return {};
+        },
+        [&](const fault_list& faults) {
+            auto reason = faults.faults.empty() ? std::string {} : toString(faults.faults.front());
+            m_context.log.write(log_class::Notable, "reload_failed", { { "file", m_settingsFile }, { "reason", reason } });
+        },
+        [&] { m_context.log.write(log_class::Notable, "reload_failed", { { "file", m_settingsFile } }); });
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/gateway/http_responder.cpp
@@ -0,0 +1,91 @@
+#include "gypsumhub/gateway/http_responder.h"
+
+#include "gypsumhub/config/section_reader.h"
+#include "gypsumhub/core/clock.h"
+#include "gypsumhub/core/deadline_timer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+namespace gypsumhub {
+
+namespace {
+
+    constexpr auto listenBacklog = 1024;
+    // A connection that asks nothing for so long is closed.
+    constexpr auto idleLimit = seconds(10);
+    // After a failed accept, such as for want of descriptors.
+    constexpr auto acceptPause = milliseconds(20);
+
+} // namespace
+
+auto openListener(tcp_acceptor& acceptor, const endpoint& address) -> leaf::result<void>
+{
+    auto error = error_code {};
+    auto number = asio::ip::make_address(address.address, error);
+    auto place = tcp::endpoint(number, address.port);
+    if (!error)
+        acceptor.open(place.protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp_acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(place, error);
+    if (!error)
+        acceptor.listen(listenBacklog, error);
+    if (error)
+        return failWith({ result_code::AddressInUse, "cannot listen on " + formatEndpoint(address) + ": " + error.message(), {}, 0,
+            "choose an address of this machine and a free port" });
+    return {};
+}
+
+http_responder::http_responder(asio::io_context& context, answer_function answer)
+    : m_context(context)
+    , m_answer(std::move(answer))
+    , m_acceptor(context.get_executor())
+{
+}
+
+auto http_responder::listen(const endpoint& address) -> leaf::result<void>
+{
+    BOOST_LEAF_CHECK(openListener(m_acceptor, address));
+    asio::co_spawn(m_context.get_executor(), accept(), asio::detached);
+    return {};
+}
+
+auto http_responder::accept() -> task<>
+{
+    auto timer = steady_timer(m_context.get_executor());
+    for (;;) {
+        auto socket = tcp_socket(m_context.get_executor());
+        auto [error] = co_await m_acceptor.async_accept(socket, useTask);
+        if (error)
+            co_await sleepUntil(timer, bootClockNow() + acceptPause);
+        else
+            asio::co_spawn(m_context.get_executor(), serve(std::move(socket)), asio::detached);
+    }
+}
+
+auto http_responder::serve(tcp_socket socket) -> task<>
+{
+    auto buffer = beast::flat_buffer {};
+    auto timer = deadline_timer(m_context.get_executor());
+    setNoDelay(socket);
+    for (auto isOpen = true; isOpen;) {
+        timer.arm(bootClockNow() + idleLimit, [&socket] { closeNow(socket); });
+        auto request = http::request<http::empty_body> {};
+        auto [readError, read] = co_await http::async_read(socket, buffer, request, useTask);
+        if (readError)
+            co_return;
+        auto answer = request.method() == http::verb::get ? m_answer(request.target()) : short_answer { 405 };
+        auto response = http::response<http::string_body>(http::int_to_status(answer.status), 11, std::move(answer.body));
+        response.set(http::field::content_type, answer.contentType);
+        response.keep_alive(request.keep_alive());
+        response.prepare_payload();
+        auto [writeError, written] = co_await http::async_write(socket, response, useTask);
+        isOpen = !writeError && request.keep_alive();
+    }
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/gateway/http_responder.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "gypsumhub/config/configuration.h"
+#include "gypsumhub/core/asio_types.h"
+#include "gypsumhub/core/fault.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace gypsumhub {
+
+/// A short answer to a GET request.
+struct short_answer {
+    unsigned status { 200 };
+    std::string contentType { "text/plain" };
+    std::string body;
+};
+
+/// Serves GET requests with short answers that are made at once.
+class http_responder {
+public:
+    using answer_function = std::function<short_answer(std::string_view target)>;
+
+    http_responder(asio::io_context&, answer_function);
+
+    /// Listens and starts to serve; fails with `AddressInUse`.
+    auto listen(const endpoint&) -> leaf::result<void>;
+
+private:
+    auto accept() -> task<>;
+    auto serve(tcp_socket) -> task<>;
+
+    asio::io_context& m_context;
+    answer_function m_answer;
+    tcp_acceptor m_acceptor;
+};
+
+/// Opens a listening socket; fails with `AddressInUse`.
+auto openListener(tcp_acceptor&, const endpoint&) -> leaf::result<void>;
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/gateway/log_lines.cpp
@@ -0,0 +1,74 @@
+#include "gypsumhub/gateway/log_lines.h"
+
+#include "gypsumhub/core/clock.h"
+
+#include <algorithm>
+#include <boost/json/serialize.hpp>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace gypsumhub {
+
+namespace {
+
+    // Memory for a reader that has stopped; some seconds of lines.
+    constexpr auto mostPendingBytes = size_t { 256 * 1024 };
+    // Routine lines leave this share of the limit to notable ones.
+    constexpr auto notableShare = 0.3;
+
+} // namespace
+
+log_lines::log_lines(settings given)
+    : m_settings(given)
+    , m_tokens(given.linesPerSecond)
+    , m_refilledAt(bootClockNow())
+{
+    auto flags = fcntl(m_settings.descriptor, F_GETFL);
+    fcntl(m_settings.descriptor, F_SETFL, flags | O_NONBLOCK);
+}
+
+auto log_lines::admits(log_class kind, time_point now) -> bool
+{
+    auto limit = static_cast<double>(m_settings.linesPerSecond);
+    m_tokens = std::min(limit, m_tokens + (now - m_refilledAt).seconds() * limit);
+    m_refilledAt = now;
+    auto least = kind == log_class::Routine ? 1 + notableShare * limit : 1;
+    if (m_tokens < least || m_pending.size() > mostPendingBytes)
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
+auto log_lines::append(std::string_view event, boost::json::object fields) -> void
+{
+    auto line = boost::json::object { { "time", static_cast<double>(wallClockNow().ns) * 1e-9 }, { "event", event } };
+    for (auto& field : fields)
+        line.insert(field);
+    m_pending += boost::json::serialize(line);
+    m_pending += '\n';
+}
+
+auto log_lines::write(log_class kind, std::string_view event, boost::json::object fields) -> void
+{
+    if (!admits(kind, bootClockNow())) {
+        ++m_dropped;
+        return;
+    }
+    if (m_dropped > m_droppedTold) {
+        append("log_dropped", { { "lines", m_dropped - m_droppedTold } });
+        m_droppedTold = m_dropped;
+    }
+    append(event, std::move(fields));
+}
+
+auto log_lines::flush() -> void
+{
+    if (m_pending.empty())
+        return;
+    auto written = ::write(m_settings.descriptor, m_pending.data(), m_pending.size());
+    // A reader that takes nothing now may take it at the next flush.
+    if (written > 0)
+        m_pending.erase(0, static_cast<size_t>(written));
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/gateway/log_lines.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "gypsumhub/core/time_point.h"
+
+#include <boost/json/object.hpp>
+#include <string>
+#include <string_view>
+
+namespace gypsumhub {
+
+/// Which lines go first when there are more than the limit allows.
+enum class log_class : uint8_t {
+    /// One of many requests that went well.
+    Routine,
+    /// A failure, a refusal, or a change of what the node believes.
+    Notable,
+};
+
+/// Writes JSON lines to a file descriptor without ever waiting for its reader. Lines beyond the limit, or beyond what the
+/// reader takes, are dropped and counted in a line of their own.
+class log_lines {
+public:
+    struct settings {
+        int descriptor { 1 };
+        uint32_t linesPerSecond { 200 };
+    };
+
+    explicit log_lines(settings);
+
+    auto write(log_class, std::string_view event, boost::json::object fields) -> void;
+    /// Hands over what the reader takes now. Called several times a second.
+    auto flush() -> void;
+    auto dropped() const -> uint64_t { return m_dropped; }
+
+private:
+    auto admits(log_class, time_point now) -> bool;
+    auto append(std::string_view event, boost::json::object fields) -> void;
+
+    settings m_settings;
+    std::string m_pending;
+    uint64_t m_dropped { 0 };
+    uint64_t m_droppedTold { 0 };
+    double m_tokens;
+    time_point m_refilledAt;
+};
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/gateway/node_datagram.capnp
@@ -0,0 +1,46 @@
+# What the nodes of a gateway tell each other in datagrams. scripts/generate_peer_schema renews the generated code.
+@0xb7c41f0a52d98e63;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("gypsumhub::wire");
+
+struct NodeDatagram {
+  # Name of the sending node.
+  sender @0 :Text;
+  union {
+    hello @1 :NodeHello;
+    outcomes @2 :List(TargetOutcome);
+    registrations @3 :List(TargetChange);
+  }
+}
+
+struct NodeHello {
+  isReady @0 :Bool;
+  isLeaving @1 :Bool;
+  configurationVersion @2 :UInt64;
+  viewDigest @3 :UInt64;
+  viewAgeMs @4 :UInt32;
+}
+
+# The outcome of a request, when it says something new of the target.
+struct TargetOutcome {
+  target @0 :Text;
+  incarnation @1 :UInt64;
+  failed @2 :Bool;
+  # How long before this datagram the request was sent to the target.
+  sentBeforeMs @3 :UInt32;
+}
+
+struct TargetChange {
+  target @0 :Text;
+  removed @1 :Bool;
+  service @2 :Text;
+  address @3 :Text;
+  port @4 :UInt16;
+  dataCentre @5 :Text;
+  slots @6 :UInt32;
+  draining @7 :Bool;
+  warmInMs @8 :UInt32;
+  incarnation @9 :UInt64;
+  revision @10 :UInt64;
+}
--- /dev/null
+++ b/gypsumhub/gateway/node_datagram.cpp
@@ -0,0 +1,153 @@
+#include "gypsumhub/gateway/node_datagram.h"
+
+#include "gypsumhub/gateway/node_datagram_schema.h"
+
+#include <algorithm>
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+#include <limits>
+
+namespace gypsumhub {
+
+namespace {
+
+    // A datagram that would need more to read was not written by a node.
+    constexpr auto readLimitWords = uint64_t { 4096 };
+
+    auto toMilliseconds(duration length) -> uint32_t
+    {
+        return static_cast<uint32_t>(std::clamp<int64_t>(length.milliseconds(), 0, std::numeric_limits<uint32_t>::max()));
+    }
+
+    struct content_writer {
+        wire::NodeDatagram::Builder datagram;
+        time_point now;
+
+        auto operator()(const node_hello& hello) -> void
+        {
+            auto written = datagram.initHello();
+            written.setIsReady(hello.isReady);
+            written.setIsLeaving(hello.isLeaving);
+            written.setConfigurationVersion(hello.configurationVersion);
+            written.setViewDigest(hello.viewDigest);
+            written.setViewAgeMs(toMilliseconds(hello.viewAge));
+        }
+
+        auto operator()(const std::vector<told_outcome>& outcomes) -> void
+        {
+            auto list = datagram.initOutcomes(static_cast<uint32_t>(outcomes.size()));
+            for (auto index = uint32_t { 0 }; index < list.size(); ++index) {
+                auto& outcome = outcomes[index];
+                list[index].setTarget(outcome.target);
+                list[index].setIncarnation(outcome.incarnation);
+                list[index].setFailed(outcome.failed);
+                list[index].setSentBeforeMs(toMilliseconds(now - outcome.sentAt));
+            }
+        }
+
+        auto operator()(const std::vector<view_change>& changes) -> void
+        {
+            auto list = datagram.initRegistrations(static_cast<uint32_t>(changes.size()));
+            for (auto index = uint32_t { 0 }; index < list.size(); ++index) {
+                auto& entry = changes[index].registration;
+                auto written = list[index];
+                written.setTarget(entry.id);
+                written.setRemoved(changes[index].isRemoval);
+                written.setService(entry.service);
+                written.setAddress(entry.address.address);
+                written.setPort(entry.address.port);
+                written.setDataCentre(entry.dataCentre);
+                written.setSlots(entry.slots);
+                written.setDraining(entry.isDraining);
+                written.setWarmInMs(toMilliseconds(entry.warmAt - now));
+                written.setIncarnation(entry.incarnation);
+                written.setRevision(entry.revision);
+            }
+        }
+    };
+
+    auto readOutcomes(wire::NodeDatagram::Reader datagram, time_point now) -> std::vector<told_outcome>
+    {
+        auto outcomes = std::vector<told_outcome> {};
+        for (auto outcome : datagram.getOutcomes()) {
+            if (outcomes.size() == mostDatagramEntries)
+                break;
+            outcomes.push_back({ outcome.getTarget().cStr(), outcome.getIncarnation(), outcome.getFailed(), now - milliseconds(outcome.getSentBeforeMs()) });
+        }
+        return outcomes;
+    }
+
+    auto readRegistrations(wire::NodeDatagram::Reader datagram, time_point now) -> std::vector<view_change>
+    {
+        auto changes = std::vector<view_change> {};
+        for (auto entry : datagram.getRegistrations()) {
+            if (changes.size() == mostDatagramEntries)
+                break;
+            auto read = target_registration {};
+            read.id = entry.getTarget().cStr();
+            read.service = entry.getService().cStr();
+            read.address = { entry.getAddress().cStr(), entry.getPort() };
+            read.dataCentre = entry.getDataCentre().cStr();
+            read.slots = std::max<uint32_t>(entry.getSlots(), 1);
+            read.isDraining = entry.getDraining();
+            read.warmAt = now + milliseconds(entry.getWarmInMs());
+            read.incarnation = entry.getIncarnation();
+            read.revision = entry.getRevision();
+            changes.push_back({ std::move(read), entry.getRemoved() });
+        }
+        return changes;
+    }
+
+    auto readDatagram(wire::NodeDatagram::Reader datagram, time_point now) -> std::optional<node_datagram>
+    {
+        auto read = node_datagram { datagram.getSender().cStr(), {} };
+        switch (datagram.which()) {
+        case wire::NodeDatagram::HELLO: {
+            auto hello = datagram.getHello();
+            read.content = node_hello { read.sender, hello.getIsReady(), hello.getIsLeaving(), hello.getConfigurationVersion(),
+                hello.getViewDigest(), milliseconds(hello.getViewAgeMs()) };
+            return read;
+        }
+        case wire::NodeDatagram::OUTCOMES:
+            read.content = readOutcomes(datagram, now);
+            return read;
+        case wire::NodeDatagram::REGISTRATIONS:
+            read.content = readRegistrations(datagram, now);
+            return read;
+        }
+        return std::nullopt;
+    }
+
+} // namespace
+
+auto encodeDatagram(const node_datagram& given, time_point now) -> std::string
+{
+    auto message = capnp::MallocMessageBuilder {};
+    auto root = message.initRoot<wire::NodeDatagram>();
+    root.setSender(given.sender);
+    std::visit(content_writer { root, now }, given.content);
+    auto output = kj::VectorOutputStream {};
+    capnp::writePackedMessage(output, message);
+    auto bytes = output.getArray();
+    return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
+}
+
+auto decodeDatagram(std::string_view bytes, time_point now) -> std::optional<node_datagram>
+{
+    auto read = std::optional<node_datagram> {};
+    // The library reports malformed bytes by exception.
+    auto failure = kj::runCatchingExceptions([&] {
+        auto input = kj::ArrayInputStream({ reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size() });
+        auto options = capnp::ReaderOptions {};
+        options.traversalLimitInWords = readLimitWords;
+        auto message = capnp::PackedMessageReader(input, options);
+        read = readDatagram(message.getRoot<wire::NodeDatagram>(), now);
+    });
+    if (failure != nullptr)
+        return std::nullopt;
+    return read;
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/gateway/peer_channel.cpp
@@ -0,0 +1,64 @@
+#include "gypsumhub/gateway/peer_channel.h"
+
+#include "gypsumhub/config/section_reader.h"
+#include "gypsumhub/core/clock.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address.hpp>
+
+namespace gypsumhub {
+
+using asio::ip::udp;
+
+peer_channel::peer_channel(asio::io_context& context, listener listener)
+    : m_context(context)
+    , m_socket(context.get_executor())
+    , m_listener(std::move(listener))
+{
+}
+
+auto peer_channel::open(const endpoint& address) -> leaf::result<void>
+{
+    auto error = error_code {};
+    auto number = asio::ip::make_address(address.address, error);
+    auto place = udp::endpoint(number, address.port);
+    if (!error)
+        m_socket.open(place.protocol(), error);
+    if (!error)
+        m_socket.bind(place, error);
+    // A full queue drops the datagram instead of making the node wait.
+    if (!error)
+        m_socket.non_blocking(true, error);
+    if (error)
+        return failWith({ result_code::AddressInUse, "cannot receive datagrams at " + formatEndpoint(address) + ": " + error.message(), {}, 0,
+            "choose an address of this machine and a free port for peer_address" });
+    asio::co_spawn(m_context.get_executor(), receive(), asio::detached);
+    return {};
+}
+
+auto peer_channel::send(const node_datagram& datagram, std::span<const node_registration> receivers) -> void
+{
+    auto bytes = encodeDatagram(datagram, bootClockNow());
+    for (auto& receiver : receivers) {
+        auto error = error_code {};
+        auto number = asio::ip::make_address(receiver.peerAddress.address, error);
+        if (!error)
+            m_socket.send_to(asio::buffer(bytes), udp::endpoint(number, receiver.peerAddress.port), 0, error);
+    }
+}
+
+auto peer_channel::receive() -> task<>
+{
+    auto sender = udp::endpoint {};
+    for (;;) {
+        auto [error, count] = co_await m_socket.async_receive_from(asio::buffer(m_bytes), sender, useTask);
+        if (error == asio::error::operation_aborted)
+            co_return;
+        // Other errors report that an earlier datagram found no receiver.
+        if (!error)
+            m_listener(decodeDatagram({ m_bytes.data(), count }, bootClockNow()), sender.address().to_string());
+    }
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/gateway/store_follower.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "gypsumhub/gateway/gateway_context.h"
+#include "gypsumhub/store/keyspace.h"
+
+#include <functional>
+#include <span>
+#include <string_view>
+
+namespace gypsumhub {
+
+/// Follows what a node reads from the store: the configuration, the registrations of targets and those of nodes. It also
+/// keeps the node's own registration.
+class store_follower {
+public:
+    struct listeners {
+        /// Changes of registrations that the other nodes of the data centre need.
+        std::function<void(std::span<const view_change>)> spread;
+        /// The node is registered and knows routes and targets.
+        std::function<void()> progress;
+    };
+
+    store_follower(gateway_context&, keyspace&, listeners);
+
+    auto start() -> void;
+    /// Ends the node's registration.
+    auto unregister() -> void;
+    /// Takes in changes that another node has read.
+    auto takeChanges(std::span<const view_change>) -> void;
+    /// Takes in what another node says of its configuration and, when it is the reader, of its view.
+    auto takeHello(const node_hello&) -> void;
+    /// Carries out removals whose time has come.
+    auto tick() -> void;
+
+    auto hasTargets() const -> bool { return m_hasTargets; }
+
+private:
+    auto followConfiguration() -> task<>;
+    auto followTargets() -> task<>;
+    auto followNodes() -> task<>;
+    auto keepRegistration() -> task<>;
+    auto readConfiguration() -> task<uint64_t>;
+    auto catchUpConfiguration() -> task<>;
+    auto readTargets() -> task<bool>;
+    auto readTargetChanges() -> task<bool>;
+    auto takeConfiguration(const store_entry&) -> void;
+    auto takeNode(const store_entry&) -> void;
+    auto readEntry(const store_entry&) -> std::optional<target_registration>;
+    auto apply(std::span<const view_change>) -> void;
+    auto noteStore(std::string_view what, keyspace_status) -> bool;
+    auto pause(duration) -> task<>;
+
+    gateway_context& m_context;
+    keyspace& m_store;
+    listeners m_listeners;
+    uint64_t m_targetRevision { 0 };
+    uint64_t m_lease { 0 };
+    /// Hellos in a row whose view differs from this node's.
+    uint32_t m_differences { 0 };
+    bool m_hasTargets { false };
+    bool m_mustList { true };
+    bool m_isLost { false };
+    bool m_isCatchingUp { false };
+};
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/gateway/target_link.cpp
@@ -0,0 +1,148 @@
+#include "gypsumhub/gateway/target_link.h"
+
+#include "gypsumhub/core/clock.h"
+#include "gypsumhub/platform/wire_names.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <sys/socket.h>
+
+namespace gypsumhub {
+
+namespace {
+
+    constexpr auto largestAnswer = uint64_t { 64 * 1024 * 1024 };
+    // A target that sends more answers to other requests than this is not going to send ours.
+    constexpr auto mostStrayAnswers = 3;
+
+    // The `timeout` of a Keep-Alive field in whole seconds, or nothing.
+    auto keepAliveSeconds(std::string_view field) -> std::optional<int64_t>
+    {
+        constexpr auto name = std::string_view { "timeout=" };
+        auto place = field.find(name);
+        if (place == std::string_view::npos)
+            return std::nullopt;
+        auto digits = field.substr(place + name.size());
+        auto count = int64_t { 0 };
+        auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), count);
+        return error == std::errc {} ? std::optional(count) : std::nullopt;
+    }
+
+} // namespace
+
+target_link::target_link(asio::io_context& context)
+    : m_context(context)
+    , m_socket(context.get_executor())
+    , m_timer(context.get_executor())
+{
+}
+
+auto target_link::connect(const endpoint& address, time_point deadline) -> task<bool>
+{
+    auto parseError = error_code {};
+    auto number = asio::ip::make_address(address.address, parseError);
+    if (parseError)
+        co_return false;
+    m_timer.arm(deadline, [this] { closeNow(m_socket); });
+    auto [error] = co_await m_socket.async_connect({ number, address.port }, useTask);
+    m_timer.disarm();
+    if (error || !m_socket.is_open())
+        co_return false;
+    setNoDelay(m_socket);
+    m_isReusable = true;
+    co_return true;
+}
+
+auto target_link::abandon() -> void
+{
+    m_isAbandoned = true;
+    closeNow(m_socket);
+}
+
+auto target_link::isQuiet() -> bool
+{
+    if (!isReusable() || m_buffer.size() > 0)
+        return false;
+    auto byte = char {};
+    auto count = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+auto target_link::writeAll(std::string head, std::shared_ptr<const std::string> body) -> task<>
+{
+    auto buffers = std::array<asio::const_buffer, 2> { asio::buffer(head), asio::buffer(*body) };
+    // A failed write shows in the answer that does not come.
+    co_await asio::async_write(m_socket, buffers, useTask);
+    m_isWriting = false;
+}
+
+auto target_link::exchange(const outbound_request& request, time_point deadline) -> task<exchange_result>
+{
+    auto result = exchange_result {};
+    m_isReusable = false;
+    m_isWriting = true;
+    m_timer.arm(deadline, [this] {
+        m_hasTimedOut = true;
+        closeNow(m_socket);
+    });
+    // The answer may come before a long body has been read, so both go on at the same time.
+    asio::co_spawn(
+        m_context.get_executor(), [self = shared_from_this(), head = request.head, body = request.body]() -> task<> { co_await self->writeAll(head, body); },
+        asio::detached);
+    for (auto stray = 0; stray <= mostStrayAnswers; ++stray) {
+        auto isComplete = co_await readAnswer(request, result);
+        if (!isComplete) {
+            result.end = m_isAbandoned ? exchange_end::Abandoned : m_hasTimedOut ? exchange_end::TimedOut
+                                                                                 : exchange_end::Lost;
+            break;
+        }
+        auto id = result.answer[wire_names::requestId];
+        if (id.empty() || id == request.id) {
+            result.end = exchange_end::Answered;
+            m_isReusable = m_isReusable && stray == 0;
+            break;
+        }
+        result.end = exchange_end::Lost;
+        result.answer = {};
+    }
+    m_timer.disarm();
+    // The rest of a body that the target did not wait for would be read as the next request.
+    if (m_isWriting || m_buffer.size() > 0 || result.end != exchange_end::Answered)
+        m_isReusable = false;
+    m_lastUsedAt = bootClockNow();
+    if (!m_isReusable)
+        closeNow(m_socket);
+    co_return result;
+}
+
+auto target_link::readAnswer(const outbound_request& request, exchange_result& result) -> task<bool>
+{
+    for (;;) {
+        auto parser = http::response_parser<http::string_body> {};
+        parser.body_limit(largestAnswer);
+        parser.skip(request.isHead);
+        auto [error, read] = co_await http::async_read(m_socket, m_buffer, parser, useTask);
+        if (error || !parser.is_done())
+            co_return false;
+        // Interim answers are not the answer.
+        if (parser.get().result_int() / 100 == 1)
+            continue;
+        auto keepAlive = parser.keep_alive() && !parser.need_eof();
+        result.answer = parser.release();
+        noteAnswer(result.answer, keepAlive);
+        co_return true;
+    }
+}
+
+auto target_link::noteAnswer(const http::response<http::string_body>& answer, bool keepAlive) -> void
+{
+    m_isReusable = keepAlive;
+    m_idleUntil = never;
+    if (auto timeout = keepAliveSeconds(answer[http::field::keep_alive]))
+        m_idleUntil = bootClockNow() + seconds(*timeout);
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/gateway/target_link.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "gypsumhub/config/configuration.h"
+#include "gypsumhub/core/asio_types.h"
+#include "gypsumhub/core/deadline_timer.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <memory>
+#include <string>
+
+namespace gypsumhub {
+
+/// How an exchange with a target ended.
+enum class exchange_end : uint8_t {
+    Answered,
+    /// No byte of the request was sent.
+    NotSent,
+    /// The connection ended, or its bytes were no answer, after the request was sent.
+    Lost,
+    /// The deadline passed after the request was sent.
+    TimedOut,
+    /// The node broke the exchange off.
+    Abandoned,
+};
+
+/// The request as it goes to a target.
+struct outbound_request {
+    std::string head;
+    std::shared_ptr<const std::string> body;
+    std::string id;
+    bool isHead { false };
+};
+
+/// The end of an exchange and, when it was answered, the complete answer.
+struct exchange_result {
+    exchange_end end { exchange_end::NotSent };
+    http::response<http::string_body> answer;
+};
+
+/// One connection to a target. Used for one exchange at a time.
+class target_link : public std::enable_shared_from_this<target_link> {
+public:
+    explicit target_link(asio::io_context&);
+
+    /// Opens the connection. Returns whether it is open by `deadline`.
+    auto connect(const endpoint&, time_point deadline) -> task<bool>;
+    /// Sends a request and reads its whole answer. An answer that bears another request's id is passed over.
+    auto exchange(const outbound_request&, time_point deadline) -> task<exchange_result>;
+    /// Ends the exchange under way; its result is `Abandoned`.
+    auto abandon() -> void;
+
+    /// Whether the connection may carry another exchange as far as its bytes tell.
+    auto isReusable() const -> bool { return m_isReusable && m_socket.is_open(); }
+    /// Whether an idle connection has neither been closed by the target nor received bytes that belong to no request.
+    auto isQuiet() -> bool;
+    /// Until when the target keeps the idle connection open, as far as it said.
+    auto idleUntil() const -> time_point { return m_idleUntil; }
+    auto lastUsedAt() const -> time_point { return m_lastUsedAt; }
+
+private:
+    auto writeAll(std::string head, std::shared_ptr<const std::string> body) -> task<>;
+    auto readAnswer(const outbound_request&, exchange_result&) -> task<bool>;
+    auto noteAnswer(const http::response<http::string_body>&, bool keepAlive) -> void;
+
+    asio::io_context& m_context;
+    tcp_socket m_socket;
+    deadline_timer m_timer;
+    beast::flat_buffer m_buffer;
+    time_point m_idleUntil { never };
+    time_point m_lastUsedAt {};
+    bool m_isReusable { false };
+    bool m_isWriting { false };
+    bool m_hasTimedOut { false };
+    bool m_isAbandoned { false };
+};
+
+} // namespace gypsumhub
--- a/gypsumhub/main/commands.cpp
+++ b/gypsumhub/main/commands.cpp
@@ -1,6 +1,8 @@
 #include "gypsumhub/main/commands.h"
 
+#include "gypsumhub/config/gateway_settings_reader.h"
 #include "gypsumhub/config/node_settings_reader.h"
+#include "gypsumhub/gateway/gateway_node.h"
 #include "gypsumhub/main/node.h"
 #include "gypsumhub/operator/admin_client.h"
 #include "gypsumhub/operator/json_log_sink.h"
@@ -52,8 +54,20 @@
         return server.run();
     }
 
+    auto gateway(const command_arguments& arguments) -> leaf::result<void>
+    {
+        BOOST_LEAF_AUTO(settings, readGatewaySettings(arguments.front()));
+        auto server = gateway_node(std::move(settings), arguments.front());
+        return server.run();
+    }
+
     auto check(const command_arguments& arguments) -> leaf::result<void>
     {
+        if (describesGateway(arguments.front())) {
+            BOOST_LEAF_AUTO(found, readGatewaySettings(arguments.front()));
+            std::cout << arguments.front() << ": settings of gateway node " << found.name << " are valid\n";
+            return {};
+        }
         BOOST_LEAF_AUTO(settings, readNodeSettings(arguments.front()));
         std::cout << arguments.front() << ": settings of node " << settings.name << " are valid\n";
         return {};
@@ -124,6 +138,7 @@
 
     const command_row commands[] = {
         { "serve", "Runs a node until SIGTERM.", "SETTINGS", 1, 1, {}, serve },
+        { "gateway", "Runs a node of a gateway until SIGTERM.", "SETTINGS", 1, 1, {}, gateway },
         { "check", "Checks a settings file whole, without starting anything.", "SETTINGS", 1, 1, {}, check },
         { "status", "Prints the state of a running node as JSON.", "--node=IP:PORT", 0, 0, { "node" }, status },
         { "explain", "Prints why each target of a service is in, demoted or out.", "SERVICE_OR_VM --node=IP:PORT", 1, 1, { "node" }, explain },
--- /dev/null
+++ b/unit_tests/gateway/log_lines_test.cpp
@@ -0,0 +1,45 @@
+#include "gypsumhub/gateway/log_lines.h"
+
+#include <doctest/doctest.h>
+#include <string>
+#include <unistd.h>
+
+using namespace gypsumhub;
+
+namespace {
+
+struct pipe_ends {
+    pipe_ends() { REQUIRE(::pipe(ends.data()) == 0); }
+    ~pipe_ends()
+    {
+        for (auto end : ends)
+            ::close(end);
+    }
+    std::array<int, 2> ends {};
+};
+
+} // namespace
+
+TEST_CASE("a reader that has stopped reading never holds the writer up, and lost lines are counted")
+{
+    auto pipe = pipe_ends {};
+    auto log = log_lines({ pipe.ends[1], 100'000 });
+    auto text = std::string(200, 'x');
+    for (auto count = 0; count < 20'000; ++count) {
+        log.write(log_class::Routine, "request_ended", { { "id", text } });
+        log.flush();
+    }
+    CHECK(log.dropped() > 0);
+}
+
+TEST_CASE("routine lines leave room for notable ones")
+{
+    auto pipe = pipe_ends {};
+    auto log = log_lines({ pipe.ends[1], 10 });
+    for (auto count = 0; count < 50; ++count)
+        log.write(log_class::Routine, "request_ended", {});
+    auto before = log.dropped();
+    CHECK(before >= 40);
+    log.write(log_class::Notable, "target_set_aside", {});
+    CHECK(log.dropped() == before);
+}
