Fair turns while a service fails; end-to-end tests of the gateway on loopback

Now a near target that has served nothing since the node started is tried first, and while more than 8 % of a service's requests fail, each near target that may be good serves at least once a second. Test: longest idle time of five targets, above 2 s with the mechanism off, below with it. Store calls are spaced out (0.7 s between reads of registrations, 2 s of nodes).

--- /dev/null
+++ b/fakes/fake_gateway_target.cpp
@@ -0,0 +1,116 @@
+#include "fakes/fake_gateway_target.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <sys/socket.h>
+
+namespace gypsumhub {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+    auto makeAnswer(unsigned status, std::string_view requestId, std::string_view target) -> std::string
+    {
+        auto body = std::string("from ") + std::string(target);
+        return "HTTP/1.1 " + std::to_string(status) + " X\r\nRequest-Id: " + std::string(requestId) + "\r\nUpstream-Signature: " + std::string(target)
+            + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+} // namespace
+
+fake_gateway_target::fake_gateway_target(const std::string& address, std::string id)
+    : m_id(std::move(id))
+    , m_acceptor(m_context, { asio::ip::make_address(address), 0 })
+    , m_accepting([this] {
+        for (;;) {
+            auto error = boost::system::error_code {};
+            auto socket = m_acceptor.accept(error);
+            if (error)
+                return;
+            auto lock = std::lock_guard(m_mutex);
+            m_sockets.push_back(socket.native_handle());
+            m_connections.emplace_back([this, taken = std::move(socket)]() mutable { serve(std::move(taken)); });
+        }
+    })
+{
+}
+
+fake_gateway_target::~fake_gateway_target()
+{
+    // Ends the blocking accept and reads; the descriptors stay open until their threads are done.
+    ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+    m_accepting.join();
+    {
+        auto lock = std::lock_guard(m_mutex);
+        for (auto socket : m_sockets)
+            ::shutdown(socket, SHUT_RDWR);
+    }
+    for (auto& connection : m_connections)
+        connection.join();
+}
+
+auto fake_gateway_target::port() const -> uint16_t
+{
+    return m_acceptor.local_endpoint().port();
+}
+
+auto fake_gateway_target::runs(const std::string& requestId) -> int
+{
+    auto lock = std::lock_guard(m_mutex);
+    return m_runs[requestId];
+}
+
+auto fake_gateway_target::totalRuns() -> int
+{
+    auto lock = std::lock_guard(m_mutex);
+    auto total = 0;
+    for (auto& [id, count] : m_runs)
+        total += count;
+    return total;
+}
+
+auto fake_gateway_target::serve(asio::ip::tcp::socket socket) -> void
+{
+    auto buffer = boost::beast::flat_buffer {};
+    for (;;) {
+        auto request = http::request<http::string_body> {};
+        auto error = boost::system::error_code {};
+        http::read(socket, buffer, request, error);
+        if (error)
+            break;
+        auto id = std::string(request["Request-Id"]);
+        auto send = [&](const std::string& text) { asio::write(socket, asio::buffer(text), error); };
+        auto manner = m_manner.load();
+        if (request["Target-Instance"] != m_id) {
+            send("HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n");
+            continue;
+        }
+        if (manner == target_manner::Sheds) {
+            send("HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            continue;
+        }
+        {
+            auto lock = std::lock_guard(m_mutex);
+            ++m_runs[id];
+        }
+        auto answer = makeAnswer(manner == target_manner::Fails ? 500 : 200, id, m_id);
+        if (manner == target_manner::Strays)
+            send(makeAnswer(200, "another", "another"));
+        if (manner == target_manner::Drops || manner == target_manner::Cuts) {
+            if (manner == target_manner::Cuts)
+                send(answer.substr(0, answer.size() - 3));
+            break;
+        }
+        send(answer);
+        if (error)
+            break;
+    }
+    // The number is forgotten before the descriptor is closed, since another socket may get it.
+    auto lock = std::lock_guard(m_mutex);
+    std::erase(m_sockets, socket.native_handle());
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/fakes/fake_gateway_target.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace gypsumhub {
+
+/// How a stand-in target treats its requests.
+enum class target_manner : uint8_t {
+    Sound,
+    /// Answers 500.
+    Fails,
+    /// Declines to run, for want of room.
+    Sheds,
+    /// Runs the request and closes the connection without an answer.
+    Drops,
+    /// Sends an answer to another request before its own.
+    Strays,
+    /// Breaks off in the middle of its answer.
+    Cuts,
+};
+
+/// Stand-in of a target of the users' platform. Each connection has a thread.
+class fake_gateway_target {
+public:
+    fake_gateway_target(const std::string& address, std::string id);
+    ~fake_gateway_target();
+
+    auto port() const -> uint16_t;
+    auto setManner(target_manner manner) -> void { m_manner = manner; }
+    /// How often the target ran a request.
+    auto runs(const std::string& requestId) -> int;
+    auto totalRuns() -> int;
+
+private:
+    auto serve(boost::asio::ip::tcp::socket) -> void;
+
+    std::string m_id;
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::atomic<target_manner> m_manner { target_manner::Sound };
+    std::mutex m_mutex;
+    std::map<std::string, int> m_runs;
+    std::vector<std::thread> m_connections;
+    std::vector<int> m_sockets;
+    std::thread m_accepting;
+};
+
+} // namespace gypsumhub
--- /dev/null
+++ b/fakes/fake_keyspace_server.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "fakes/fake_http_server.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace gypsumhub {
+
+/// Stand-in of the users' platform's store: entries, ranges, watches and leases that never end by themselves. It can be taken away.
+class fake_keyspace_server {
+public:
+    /// Listens on a free port of `address`.
+    explicit fake_keyspace_server(const std::string& address);
+    ~fake_keyspace_server();
+
+    auto port() const -> uint16_t { return m_server.port(); }
+    auto put(const std::string& key, std::string value) -> void;
+    auto remove(const std::string& key) -> void;
+    /// While it is away, connections are closed without an answer.
+    auto setAway(bool) -> void;
+    auto keys(std::string_view prefix) -> std::vector<std::string>;
+
+private:
+    struct entry {
+        std::string value;
+        uint64_t revision { 0 };
+    };
+    struct change {
+        std::string key;
+        entry written;
+        bool isRemoval { false };
+    };
+
+    auto answer(const fake_http_target&, const std::string& body) -> fake_http_answer;
+    auto answerRange(const fake_http_target&) -> std::string;
+    auto answerWatch(const fake_http_target&) -> fake_http_answer;
+    auto write(const std::string& body) -> void;
+
+    std::mutex m_mutex;
+    std::map<std::string, entry, std::less<>> m_entries;
+    std::vector<change> m_changes;
+    uint64_t m_revision { 1 };
+    bool m_isAway { false };
+    boost::asio::io_context m_context { 1 };
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    fake_http_server m_server;
+    std::thread m_thread;
+};
+
+} // namespace gypsumhub
--- a/gypsumhub/config/gateway_settings.h
+++ b/gypsumhub/config/gateway_settings.h
@@ -40,6 +40,8 @@
     selection_settings selection;
     /// Log lines a second; more are dropped and counted.
     uint32_t logLinesPerSecond { 200 };
+    /// Where log lines go; not a key of the file.
+    int logDescriptor { 1 };
 };
 
 } // namespace gypsumhub
--- a/gypsumhub/config/gateway_settings_reader.cpp
+++ b/gypsumhub/config/gateway_settings_reader.cpp
@@ -85,6 +85,7 @@
         { "warming_up", &selection_settings::warmingUp },
         { "twice_as_slow", &selection_settings::twiceAsSlow },
         { "repeatable_loss", &selection_settings::repeatableLoss },
+        { "turn", &selection_settings::turn },
         { "worth_waiting", &selection_settings::worthWaiting },
     });
 
--- a/gypsumhub/decision/selection/target_board.cpp
+++ b/gypsumhub/decision/selection/target_board.cpp
@@ -1,6 +1,7 @@
 #include "gypsumhub/decision/selection/target_board.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace gypsumhub {
@@ -15,11 +16,27 @@
     // Weight of one new work time in a target's slowness.
     constexpr auto slownessWeight = 0.2;
     constexpr auto mostSlowness = 10.0;
+    // Before every other choice.
+    constexpr auto firstTrial = -10.0;
     // Time for a target that has joined to be known to all nodes.
     constexpr auto trialDelay = milliseconds(1000);
+    // While a service fails, each of its targets that may be good serves at least this often.
+    constexpr auto turnInterval = milliseconds(1000);
+    constexpr auto turnLimit = 0.75;
+    // A service fails when this share of its requests of the last second or so did.
+    constexpr auto failingShare = 0.08;
+    constexpr auto leastOutcomes = 5.0;
+    constexpr auto outcomeMemory = seconds(1);
     // Between equals, so that not all nodes take the same one.
     constexpr auto tieBreak = 0.005;
 
+    auto isTurnOf(const target_state& target, double bad, bool isFailing, time_point now) -> bool
+    {
+        if (target.lastChosenAt == time_point {})
+            return true;
+        return isFailing && bad < turnLimit && now >= target.lastChosenAt + turnInterval;
+    }
+
     auto isFull(const target_state& target, time_point now) -> bool
     {
         return target.inFlight >= target.registration.slots || now < target.fullUntil;
@@ -111,6 +128,7 @@
     constexpr auto none = std::numeric_limits<double>::infinity();
     auto& service = serviceOf(request.service);
     auto chosen = selection {};
+    auto isFailing = service.outcomes > leastOutcomes && service.failures > failingShare * service.outcomes;
     auto leastFree = none, leastBusy = none;
     for (auto& target : service.targets) {
         if (target->registration.isDraining || target->isClosed || std::ranges::count(request.tried, target->registration.id) > 0)
@@ -124,7 +142,9 @@
         }
         loss += m_random.unit() * tieBreak;
         if (now >= target->trialDueAt)
-            loss = 0;
+            loss = firstTrial;
+        else if (target->registration.dataCentre == m_dataCentre && isTurnOf(*target, bad, isFailing, now))
+            loss -= m_settings.turn;
         if (loss < leastFree) {
             leastFree = loss;
             chosen.target = target;
@@ -168,6 +188,15 @@
     return { before, after };
 }
 
+auto target_board::noteEnd(std::string_view name, bool isServed, time_point now) -> void
+{
+    auto& service = serviceOf(name);
+    auto kept = std::exp(-(now - service.outcomesAt).seconds() / outcomeMemory.seconds());
+    service.outcomes = service.outcomes * kept + 1;
+    service.failures = service.failures * kept + (isServed ? 0 : 1);
+    service.outcomesAt = now;
+}
+
 auto target_board::noteWork(target_state& target, duration work) -> void
 {
     auto& model = serviceOf(target.registration.service).model;
--- a/gypsumhub/decision/selection/target_board.h
+++ b/gypsumhub/decision/selection/target_board.h
@@ -63,6 +63,8 @@
     /// Takes in an outcome, of this node or told by another.
     auto observe(target_state&, outcome_kind, time_point sentAt, time_point now) -> belief_change;
     auto noteWork(target_state&, duration work) -> void;
+    /// A request of the service has ended for its caller.
+    auto noteEnd(std::string_view service, bool isServed, time_point now) -> void;
     /// The target declined a request for want of room.
     auto noteFull(target_state&, time_point now) -> void;
 
@@ -75,6 +77,10 @@
     struct service_targets {
         service_model model;
         std::vector<std::shared_ptr<target_state>> targets;
+        /// Requests that ended lately and those of them that were not served, fading.
+        double outcomes { 0 };
+        double failures { 0 };
+        time_point outcomesAt {};
     };
 
     auto serviceOf(std::string_view name) -> service_targets&;
--- a/gypsumhub/gateway/gateway_context.cpp
+++ b/gypsumhub/gateway/gateway_context.cpp
@@ -36,7 +36,7 @@
 gateway_context::gateway_context(gateway_settings given)
     : settings(std::move(given))
     , random(seedOf(settings))
-    , log({ 1, settings.logLinesPerSecond })
+    , log({ settings.logDescriptor, settings.logLinesPerSecond })
     , board(
           settings.dataCentre, [this](std::string_view name) { return regionIn(settings, name); }, settings.selection, random())
     , roster({ settings.name, settings.dataCentre, settings.callerAddress, settings.peerAddress })
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <csignal>
 
 namespace gypsumhub {
@@ -190,6 +191,11 @@
     });
 }
 
+auto gateway_node::requestStop() -> void
+{
+    asio::post(m_context.io, [this] { beginStop(); });
+}
+
 auto gateway_node::beginStop() -> void
 {
     if (m_context.isStopping)
--- a/gypsumhub/gateway/gateway_node.h
+++ b/gypsumhub/gateway/gateway_node.h
@@ -18,6 +18,8 @@
 
     /// Serves until SIGTERM and the planned stop that follows it.
     auto run() -> leaf::result<void>;
+    /// Begins the planned stop, as SIGTERM does. Any thread may call.
+    auto requestStop() -> void;
 
 private:
     auto acceptCallers() -> task<>;
--- a/gypsumhub/gateway/request_run.cpp
+++ b/gypsumhub/gateway/request_run.cpp
@@ -341,8 +341,10 @@
         { "took_ms", (now - m_arrivedAt).milliseconds() }, { "left_ms", (m_deadline - now).milliseconds() } };
     if (m_route)
         fields["route"] = m_route->name;
-    if (m_lane)
+    if (m_lane) {
         fields["in_flight"] = m_lane->inFlight();
+        m_context.board.noteEnd(m_lane->service(), isSuccess, now);
+    }
     if (!m_tried.empty())
         fields["last_target"] = m_tried.back();
     if (m_callerLeft)
--- a/gypsumhub/gateway/store_follower.cpp
+++ b/gypsumhub/gateway/store_follower.cpp
@@ -20,12 +20,12 @@
     constexpr auto nodePrefix = std::string_view { "gypsumhub/nodes/" };
     constexpr auto callLimit = milliseconds(1500);
     // A waiting watch costs a call whenever it ends.
-    constexpr auto longWait = seconds(25);
+    constexpr auto longWait = seconds(29);
     constexpr auto targetWait = milliseconds(1000);
     // Targets report about every second and a half, so that a watch ends at once; this bounds the calls.
-    constexpr auto targetPause = milliseconds(400);
+    constexpr auto targetPause = milliseconds(700);
     // Nodes come and go together; one call takes them all.
-    constexpr auto nodePause = milliseconds(1000);
+    constexpr auto nodePause = milliseconds(2000);
     constexpr auto checkPause = milliseconds(200);
     constexpr auto retryPause = milliseconds(150);
     constexpr auto leaseLength = seconds(5);
--- a/unit_tests/decision/selection/target_board_test.cpp
+++ b/unit_tests/decision/selection/target_board_test.cpp
@@ -1,6 +1,7 @@
 #include "gypsumhub/decision/selection/target_board.h"
 
 #include <doctest/doctest.h>
+#include <map>
 
 using namespace gypsumhub;
 
@@ -106,6 +107,41 @@
     CHECK(board.choose(unsafeRequest, at(6'501)).target == board.find("proven"));
 }
 
+namespace {
+
+// The longest time that one of the sound targets idled, in milliseconds, while `failing` of ten requests fail.
+auto longestIdle(double turn, int failing) -> int64_t
+{
+    auto settings = selection_settings {};
+    settings.turn = turn;
+    auto board = target_board(
+        "a1", [](std::string_view) { return std::string("a"); }, settings, 7);
+    auto last = std::map<std::string, int64_t> { { "t1", 0 }, { "t2", 0 }, { "t3", 0 }, { "t4", 0 }, { "t5", 0 } };
+    for (auto& [id, ms] : last)
+        board.put(makeTarget(id, "a1"), at(1'000));
+    auto longest = int64_t { 0 };
+    for (auto ms = int64_t { 1'000 }; ms < 11'000; ms += 100) {
+        auto target = board.choose(unsafeRequest, at(ms)).target;
+        board.noteSent(*target, at(ms));
+        board.noteEnded(*target);
+        board.observe(*target, outcome_kind::Success, at(ms), at(ms));
+        board.noteEnd("bookdesk", ms / 100 % 10 >= failing, at(ms));
+        last[target->registration.id] = ms;
+        for (auto& [id, served] : last)
+            longest = std::max(longest, ms - std::max<int64_t>(served, 1'000));
+    }
+    return longest;
+}
+
+} // namespace
+
+TEST_CASE("a node that has just started, or whose service fails, leaves no sound target idle for two seconds")
+{
+    CHECK(longestIdle(0.4, 2) <= 2'000);
+    // Without the mechanism the least loss alone keeps to a few proven targets.
+    CHECK(longestIdle(0, 2) > 2'000);
+}
+
 TEST_CASE("a target that declines for want of room is left alone for a moment")
 {
     auto board = makeBoard();
--- /dev/null
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -0,0 +1,179 @@
+#pragma once
+
+#include "fakes/fake_gateway_target.h"
+#include "fakes/fake_keyspace_server.h"
+#include "gypsumhub/gateway/gateway_node.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <chrono>
+#include <cstdio>
+#include <doctest/doctest.h>
+#include <memory>
+#include <string>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+namespace gypsumhub {
+
+/// A caller's answer as it arrived; status 0 means that the connection ended without one.
+struct seen_answer {
+    unsigned status { 0 };
+    std::string body;
+    std::string retryAfter;
+};
+
+/// One request on a connection of its own.
+inline auto ask(const endpoint& node, http::verb method, const std::string& target, const std::string& id) -> seen_answer
+{
+    auto context = asio::io_context {};
+    auto socket = tcp::socket(context);
+    auto error = error_code {};
+    socket.connect({ asio::ip::make_address(node.address), node.port }, error);
+    if (error)
+        return {};
+    auto request = http::request<http::string_body>(method, target, 11);
+    request.set(http::field::host, "h.example");
+    request.set("Request-Id", id);
+    request.set("Deadline-Ms", "5000");
+    request.prepare_payload();
+    http::write(socket, request, error);
+    auto buffer = beast::flat_buffer {};
+    auto answer = http::response<http::string_body> {};
+    http::read(socket, buffer, answer, error);
+    if (error)
+        return {};
+    return { answer.result_int(), answer.body(), std::string(answer[http::field::retry_after]) };
+}
+
+/// Waits until `isTrue` holds; the limit only ends a test that has failed.
+template <typename Condition>
+auto eventually(Condition isTrue) -> bool
+{
+    for (auto count = 0; count < 3'000; ++count) {
+        if (isTrue())
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return false;
+}
+
+/// A store, three targets that register themselves, and two real nodes on loopback.
+class gateway_fixture {
+public:
+    gateway_fixture()
+        : store("127.0.0.1")
+    {
+        configure(1, "bookdesk");
+        for (auto index = 0; index < 3; ++index) {
+            targets.push_back(std::make_unique<fake_gateway_target>("127.0.0.1", targetId(index)));
+            registerTarget(index, "ready");
+        }
+        for (auto index = 0; index < 2; ++index)
+            startNode(index);
+        REQUIRE(eventually([&] { return isReady(0) && isReady(1); }));
+    }
+
+    ~gateway_fixture()
+    {
+        for (auto& node : nodes)
+            node->requestStop();
+        for (auto& thread : threads)
+            thread.join();
+        std::fclose(log);
+    }
+
+    static auto targetId(int index) -> std::string { return "i-target" + std::to_string(index); }
+    static auto addressOf(int index, uint16_t port) -> endpoint { return { "127.0.7." + std::to_string(index + 1), port }; }
+    static auto callerAddress(int index) -> endpoint { return addressOf(index, 17'801); }
+
+    auto configure(int version, const std::string& service) -> void
+    {
+        auto routeText = [&](const std::string& name, const std::string& kind) {
+            return R"({"name":")" + name + R"(","host":"h.example","prefix":"/)" + name + R"(/","kind":")" + kind
+                + R"(","time_limit":"4000ms","latency_target":"2000ms","priority":1,"service":")" + service + R"(","max_attempts":2})";
+        };
+        auto text = R"({"version":"0000000)" + std::to_string(version) + R"(","routes":[)" + routeText("safe", "safe") + "," + routeText("unsafe", "unsafe")
+            + R"(],"services":[{"name":"bookdesk"},{"name":"empty"}],"limits":{"max_header_bytes":16384,"max_body_bytes":65536,)"
+              R"("header_read_limit":"3000ms","idle_limit":"15s"}})";
+        store.put("op/config", text);
+    }
+
+    auto registerTarget(int index, const std::string& state) -> void
+    {
+        store.put("servers/" + targetId(index), R"({"address":"127.0.0.1:)" + std::to_string(targets[static_cast<size_t>(index)]->port()) + R"(","info":{"service":"bookdesk","version":"v1","data_centre":"a1","slots":4},"status":{"state":")" + state + R"(","sequence":1,"warm_up_left":"0ms"}})");
+    }
+
+    auto isReady(int index) -> bool { return ask(addressOf(index, 17'802), http::verb::get, "/gypsumhub/readyz", "").status == 200; }
+
+    auto setManner(target_manner manner) -> void
+    {
+        for (auto& target : targets)
+            target->setManner(manner);
+    }
+
+    auto runsOf(const std::string& id) -> int
+    {
+        auto total = 0;
+        for (auto& target : targets)
+            total += target->runs(id);
+        return total;
+    }
+
+    /// The log lines of all nodes that bear a request's id.
+    auto linesOf(const std::string& id) -> std::string
+    {
+        // Lines are flushed a few times a second.
+        auto text = std::string {};
+        auto hasEnd = [&] {
+            text.clear();
+            auto* reading = std::fopen(logPath.c_str(), "r");
+            auto line = std::array<char, 4096> {};
+            while (std::fgets(line.data(), line.size(), reading)) {
+                if (std::string_view(line.data()).find("\"" + id + "\"") != std::string_view::npos)
+                    text += line.data();
+            }
+            std::fclose(reading);
+            return text.find("request_ended") != std::string::npos;
+        };
+        REQUIRE(eventually(hasEnd));
+        return text;
+    }
+
+    fake_keyspace_server store;
+    std::vector<std::unique_ptr<fake_gateway_target>> targets;
+    std::vector<std::unique_ptr<gateway_node>> nodes;
+
+private:
+    auto startNode(int index) -> void
+    {
+        auto settings = gateway_settings {};
+        settings.name = "n" + std::to_string(index + 1);
+        settings.dataCentre = "a1";
+        settings.region = "a";
+        settings.dataCentres = { { "a1", "a" } };
+        settings.callerAddress = callerAddress(index);
+        settings.readinessAddress = addressOf(index, 17'802);
+        settings.directoryAddress = addressOf(index, 17'803);
+        settings.peerAddress = addressOf(index, 17'804);
+        settings.storeAddress = { "127.0.0.1", store.port() };
+        settings.stopLimit = milliseconds(2'000);
+        settings.logDescriptor = ::fileno(log);
+        nodes.push_back(std::make_unique<gateway_node>(settings, "none.ini"));
+        threads.emplace_back([node = nodes.back().get()] {
+            auto isOk = leaf::try_handle_all(
+                [&]() -> leaf::result<bool> {
+                    BOOST_LEAF_CHECK(node->run());
+                    return true;
+                },
+                [] { return false; });
+            CHECK(isOk);
+        });
+    }
+
+    std::string logPath { "/tmp/gypsumhub_gateway_test." + std::to_string(::getpid()) + ".log" };
+    std::FILE* log { std::fopen(logPath.c_str(), "w+") };
+    std::vector<std::thread> threads;
+};
+
+} // namespace gypsumhub
