Registrations, nodes and configuration travel through the nodes; the store is read by few

Now the first node of a data centre reads, two watch the configuration, a distant first node is fed by a node near the store (told apart by the shortest call), and the rest list from them over TCP in the store's own form. Outcomes are told within the region. Test: the roster's choice of reader and feeder, and the take-over when they fall silent.

--- a/gypsumhub/config/selection_settings.h
+++ b/gypsumhub/config/selection_settings.h
@@ -5,7 +5,7 @@
 /// Weights of the expected loss of a choice. The unit is one lost request.
 struct selection_settings {
     /// A target of another data centre of the region, and of another region: links are slower and shared.
-    double otherDataCentre { 0.04 };
+    double otherDataCentre { 0.06 };
     double otherRegion { 0.35 };
     /// A target whose slots are all in use, growing with the square of the load: some slow down when nearly full.
     double fullLoad { 0.2 };
--- a/gypsumhub/decision/selection/node_roster.cpp
+++ b/gypsumhub/decision/selection/node_roster.cpp
@@ -12,6 +12,12 @@
     constexpr auto silenceLimit = milliseconds(1300);
     // A reader whose last contact with the store is older hands over to the next one.
     constexpr auto readerAgeLimit = milliseconds(1200);
+    // Where registrations come through a feeder they are one interval between hellos older.
+    constexpr auto fedReaderAgeLimit = milliseconds(1650);
+    // A store that another node reaches so much faster is in another region.
+    constexpr auto distantStore = milliseconds(10);
+    // Nodes near the store that a distant one says hello to, so that it can be fed.
+    constexpr auto mostFeeders = size_t { 2 };
 
 } // namespace
 
@@ -60,7 +66,7 @@
     // Nodes of other data centres say nothing to this one; their lease in the store speaks for them.
     if (other.registration.dataCentre != m_own.dataCentre)
         return true;
-    return other.isHeard && other.hello.isReady && !other.hello.isLeaving && now <= other.heardAt + silenceLimit;
+    return isHeard(other, now);
 }
 
 auto node_roster::group(std::string_view host, std::string_view dataCentre, size_t count, time_point now) const -> std::vector<endpoint>
@@ -87,19 +93,79 @@
     return addresses;
 }
 
-auto node_roster::reader(time_point now) const -> const node_hello*
+auto node_roster::isHeard(const node& other, time_point now) const -> bool
+{
+    return other.isHeard && other.hello.isReady && !other.hello.isLeaving && now <= other.heardAt + silenceLimit;
+}
+
+auto node_roster::isNearerToStore(const node& other) const -> bool
 {
+    return other.registration.storeDelay + distantStore < m_own.storeDelay;
+}
+
+auto node_roster::nearReader(time_point now) const -> const node_hello*
+{
+    auto limit = hasNearerStore() ? fedReaderAgeLimit : readerAgeLimit;
     for (auto& [name, other] : m_nodes) {
         auto isNear = other.registration.dataCentre == m_own.dataCentre;
-        if (isNear && name < m_own.name && isAlive(other, now) && other.hello.viewAge < readerAgeLimit)
+        if (isNear && name < m_own.name && isHeard(other, now) && other.hello.viewAge < limit)
             return &other.hello;
     }
     return nullptr;
 }
 
-auto node_roster::isReader(time_point now) const -> bool
+auto node_roster::feeder(time_point now) const -> const node_hello*
 {
-    return reader(now) == nullptr;
+    for (auto& [name, other] : m_nodes) {
+        auto isNear = other.registration.dataCentre == m_own.dataCentre;
+        if (!isNear && isNearerToStore(other) && isHeard(other, now) && other.hello.viewAge < readerAgeLimit)
+            return &other.hello;
+    }
+    return nullptr;
+}
+
+auto node_roster::reader(time_point now) const -> const node_hello*
+{
+    auto* near = nearReader(now);
+    return near ? near : feeder(now);
+}
+
+auto node_roster::watchesConfiguration(time_point now) const -> bool
+{
+    auto before = 0;
+    for (auto& [name, other] : m_nodes) {
+        auto isNear = other.registration.dataCentre == m_own.dataCentre;
+        if (isNear && name < m_own.name && isHeard(other, now))
+            ++before;
+    }
+    return before == 0 ? !feeder(now) : before == 1 && !hasNearerStore();
+}
+
+auto node_roster::hasNearerStore() const -> bool
+{
+    return std::ranges::any_of(m_nodes, [&](auto& entry) { return isNearerToStore(entry.second); });
+}
+
+auto node_roster::audience(time_point now) const -> std::vector<node_registration>
+{
+    auto isFirst = !nearReader(now);
+    auto asked = size_t { 0 };
+    auto nodes = std::vector<node_registration> {};
+    for (auto& [name, other] : m_nodes) {
+        auto isNear = other.registration.dataCentre == m_own.dataCentre;
+        auto mayFeed = !isNear && isFirst && isNearerToStore(other) && asked < mostFeeders;
+        asked += mayFeed ? 1 : 0;
+        auto isFed = !isNear && other.isHeard && now <= other.heardAt + silenceLimit;
+        if (isNear || mayFeed || isFed)
+            nodes.push_back(other.registration);
+    }
+    return nodes;
+}
+
+auto node_roster::find(std::string_view name) const -> const node_registration*
+{
+    auto found = m_nodes.find(name);
+    return found == m_nodes.end() ? nullptr : &found->second.registration;
 }
 
 auto node_roster::peers() const -> std::vector<node_registration>
--- a/gypsumhub/decision/selection/node_roster.h
+++ b/gypsumhub/decision/selection/node_roster.h
@@ -17,6 +17,8 @@
     std::string dataCentre;
     endpoint callerAddress;
     endpoint peerAddress;
+    /// The shortest time that a call to the store took; tells which data centres are near the store.
+    duration storeDelay {};
 };
 
 /// What a node says of itself to the other nodes of its data centre, several times a second.
@@ -28,6 +30,8 @@
     /// Hash of the registrations that the node knows, and how old its knowledge of them is.
     uint64_t viewDigest { 0 };
     duration viewAge;
+    /// Hash of the registrations of nodes that it knows.
+    uint64_t nodesDigest { 0 };
 };
 
 /// The nodes of the fleet as this node sees them: who is registered, who is heard, who serves which host and who reads
@@ -45,11 +49,21 @@
     /// At most `count` caller addresses of nodes of a data centre for callers of a host, the same on every node that
     /// hears the same ones; of all data centres when none of that one is alive.
     auto group(std::string_view host, std::string_view dataCentre, size_t count, time_point now) const -> std::vector<endpoint>;
-    /// Whether no other node of the data centre that comes before this one reads the registrations with success.
-    auto isReader(time_point now) const -> bool;
-    /// The newest hello of the reader of the data centre, or null when this node reads itself or none is heard.
+    /// Whether this node reads the store itself, since it hears no other node that does.
+    auto isReader(time_point now) const -> bool { return reader(now) == nullptr; }
+    /// The newest hello of the node that this one learns from: the first of its data centre that is up to date, or for that
+    /// first one a node near the store, so that the distant link carries each change once. Null when there is none.
     auto reader(time_point now) const -> const node_hello*;
+    /// Whether this node is the first of its data centre and learns from a node near the store.
+    auto isFedFromAfar(time_point now) const -> bool { return !nearReader(now) && feeder(now); }
+    /// Whether this node waits for changes of the configuration at the store: the first two of a data centre that nobody feeds.
+    auto watchesConfiguration(time_point now) const -> bool;
+    /// The nodes that hear this one's hellos and changes: those of its data centre, those that it feeds and those that feed it.
+    auto audience(time_point now) const -> std::vector<node_registration>;
+    auto setStoreDelay(duration delay) -> void { m_own.storeDelay = delay; }
+    auto own() const -> const node_registration& { return m_own; }
 
+    auto find(std::string_view name) const -> const node_registration*;
     auto peers() const -> std::vector<node_registration>;
     /// Registered nodes, this one included.
     auto size() const -> uint32_t { return static_cast<uint32_t>(m_nodes.size()) + 1; }
@@ -65,6 +79,11 @@
     };
 
     auto isAlive(const node&, time_point now) const -> bool;
+    auto isHeard(const node&, time_point now) const -> bool;
+    auto isNearerToStore(const node&) const -> bool;
+    auto hasNearerStore() const -> bool;
+    auto nearReader(time_point now) const -> const node_hello*;
+    auto feeder(time_point now) const -> const node_hello*;
 
     node_registration m_own;
     bool m_isReady { false };
--- a/gypsumhub/gateway/gateway_context.cpp
+++ b/gypsumhub/gateway/gateway_context.cpp
@@ -77,6 +77,11 @@
             { "seen_by", seenBy }, { "probability_before", change.before }, { "probability_after", change.after } });
 }
 
+auto gateway_context::regionOf(std::string_view dataCentre) const -> std::string
+{
+    return regionIn(settings, dataCentre);
+}
+
 auto gateway_context::lane(std::string_view service) -> service_lane&
 {
     auto found = lanes.find(service);
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -35,16 +35,17 @@
     , m_follower(m_context, m_store, { [this](std::span<const view_change> changes) {
         for (auto first = size_t { 0 }; first < changes.size(); first += mostDatagramEntries) {
             auto part = changes.subspan(first, std::min(mostDatagramEntries, changes.size() - first));
-            m_peers.send({ m_context.settings.name, std::vector<view_change>(part.begin(), part.end()) }, nearPeers());
+            m_peers.send({ m_context.settings.name, std::vector<view_change>(part.begin(), part.end()) }, m_context.roster.audience(bootClockNow()));
         } }, [this] { sendHello(); } })
     , m_peers(m_context.io, [this](std::optional<node_datagram> datagram, std::string_view address) { takeDatagram(std::move(datagram), address); })
     , m_readiness(m_context.io, [this](std::string_view target) { return answerReadiness(target); })
     , m_directory(m_context.io, [this](std::string_view target) { return answerDirectory(target); })
     , m_metrics(m_context.io, [this](std::string_view) { return short_answer { 200, "text/plain; version=0.0.4", formatGatewayMetrics(m_context, m_store.callCount()) }; })
+    , m_peerLists(m_context.io, [this](std::string_view target) { return answerPeer(target); })
     , m_callers(m_context.io.get_executor())
     , m_signals(m_context.io, SIGTERM, SIGINT, SIGHUP)
 {
-    m_context.tell = [this](std::vector<told_outcome> outcomes) { m_peers.send({ m_context.settings.name, std::move(outcomes) }, m_context.roster.peers()); };
+    m_context.tell = [this](std::vector<told_outcome> outcomes) { m_peers.send({ m_context.settings.name, std::move(outcomes) }, regionPeers()); };
 }
 
 auto gateway_node::run() -> leaf::result<void>
@@ -57,6 +58,7 @@
     if (settings.metricsAddress.port != 0)
         BOOST_LEAF_CHECK(m_metrics.listen(settings.metricsAddress));
     BOOST_LEAF_CHECK(m_peers.open(settings.peerAddress));
+    BOOST_LEAF_CHECK(m_peerLists.listen(settings.peerAddress));
     m_context.log.write(log_class::Notable, "started", { { "node", settings.name }, { "data_centre", settings.dataCentre } });
     waitForSignal();
     m_follower.start();
@@ -125,10 +127,20 @@
     return m_context.routes && m_follower.hasTargets() && !m_context.isStopping;
 }
 
-auto gateway_node::nearPeers() const -> std::vector<node_registration>
+auto gateway_node::answerPeer(std::string_view target) -> short_answer
 {
+    auto prefix = readListingPrefix(target);
+    auto listing = prefix ? m_follower.listFor(*prefix) : std::nullopt;
+    if (!listing)
+        return { 404 };
+    return { 200, "application/json", formatListing(*listing) };
+}
+
+auto gateway_node::regionPeers() const -> std::vector<node_registration>
+{
+    // Requests hardly ever leave their region, so what is seen of its targets is of no use elsewhere.
     auto peers = m_context.roster.peers();
-    std::erase_if(peers, [&](auto& peer) { return peer.dataCentre != m_context.settings.dataCentre; });
+    std::erase_if(peers, [&](auto& peer) { return m_context.regionOf(peer.dataCentre) != m_context.settings.region; });
     return peers;
 }
 
@@ -138,8 +150,8 @@
     m_nextHello = now + helloInterval;
     m_context.roster.setOwn(isReady(), m_context.isStopping);
     auto hello = node_hello { m_context.settings.name, isReady(), m_context.isStopping, m_context.routes ? m_context.routes->version() : 0,
-        m_context.view.digest(), now - m_context.viewConfirmedAt };
-    m_peers.send({ m_context.settings.name, hello }, nearPeers());
+        m_context.view.digest(), now - m_context.viewConfirmedAt, m_follower.nodesDigest() };
+    m_peers.send({ m_context.settings.name, hello }, m_context.roster.audience(now));
 }
 
 auto gateway_node::takeDatagram(std::optional<node_datagram> datagram, std::string_view address) -> void
--- a/gypsumhub/gateway/gateway_node.h
+++ b/gypsumhub/gateway/gateway_node.h
@@ -33,7 +33,8 @@
     auto isReady() const -> bool;
     auto answerReadiness(std::string_view target) -> short_answer;
     auto answerDirectory(std::string_view target) -> short_answer;
-    auto nearPeers() const -> std::vector<node_registration>;
+    auto regionPeers() const -> std::vector<node_registration>;
+    auto answerPeer(std::string_view target) -> short_answer;
 
     std::string m_settingsFile;
     gateway_context m_context;
@@ -43,6 +44,7 @@
     http_responder m_readiness;
     http_responder m_directory;
     http_responder m_metrics;
+    http_responder m_peerLists;
     tcp_acceptor m_callers;
     asio::signal_set m_signals;
     time_point m_nextHello {};
--- a/gypsumhub/gateway/node_datagram.capnp
+++ b/gypsumhub/gateway/node_datagram.capnp
@@ -20,6 +20,7 @@
   configurationVersion @2 :UInt64;
   viewDigest @3 :UInt64;
   viewAgeMs @4 :UInt32;
+  nodesDigest @5 :UInt64;
 }
 
 # The outcome of a request, when it says something new of the target.
--- a/gypsumhub/gateway/node_datagram.capnp.h
+++ b/gypsumhub/gateway/node_datagram.capnp.h
@@ -57,7 +57,7 @@
         class Pipeline;
 
         struct _capnpPrivate {
-            CAPNP_DECLARE_STRUCT_HEADER(fd6dd7a62b49c67d, 3, 0)
+            CAPNP_DECLARE_STRUCT_HEADER(fd6dd7a62b49c67d, 4, 0)
 #if !CAPNP_LITE
             static constexpr ::capnp::_::RawBrandedSchema const* brand()
             {
@@ -272,6 +272,8 @@
 
         inline ::uint32_t getViewAgeMs() const;
 
+        inline ::uint64_t getNodesDigest() const;
+
     private:
         ::capnp::_::StructReader _reader;
         template <typename, ::capnp::Kind>
@@ -321,6 +323,9 @@
         inline ::uint32_t getViewAgeMs();
         inline void setViewAgeMs(::uint32_t value);
 
+        inline ::uint64_t getNodesDigest();
+        inline void setNodesDigest(::uint64_t value);
+
     private:
         ::capnp::_::StructBuilder _builder;
         template <typename, ::capnp::Kind>
@@ -983,6 +988,23 @@
             ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
     }
 
+    inline ::uint64_t NodeHello::Reader::getNodesDigest() const
+    {
+        return _reader.getDataField<::uint64_t>(
+            ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+    }
+
+    inline ::uint64_t NodeHello::Builder::getNodesDigest()
+    {
+        return _builder.getDataField<::uint64_t>(
+            ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+    }
+    inline void NodeHello::Builder::setNodesDigest(::uint64_t value)
+    {
+        _builder.setDataField<::uint64_t>(
+            ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+    }
+
     inline bool TargetOutcome::Reader::hasTarget() const
     {
         return !_reader.getPointerField(
--- a/gypsumhub/gateway/node_datagram.cpp
+++ b/gypsumhub/gateway/node_datagram.cpp
@@ -33,6 +33,7 @@
             written.setConfigurationVersion(hello.configurationVersion);
             written.setViewDigest(hello.viewDigest);
             written.setViewAgeMs(toMilliseconds(hello.viewAge));
+            written.setNodesDigest(hello.nodesDigest);
         }
 
         auto operator()(const std::vector<told_outcome>& outcomes) -> void
@@ -107,7 +108,7 @@
         case wire::NodeDatagram::HELLO: {
             auto hello = datagram.getHello();
             read.content = node_hello { read.sender, hello.getIsReady(), hello.getIsLeaving(), hello.getConfigurationVersion(),
-                hello.getViewDigest(), milliseconds(hello.getViewAgeMs()) };
+                hello.getViewDigest(), milliseconds(hello.getViewAgeMs()), hello.getNodesDigest() };
             return read;
         }
         case wire::NodeDatagram::OUTCOMES:
--- a/gypsumhub/gateway/request_run.cpp
+++ b/gypsumhub/gateway/request_run.cpp
@@ -327,6 +327,7 @@
     auto now = bootClockNow();
     m_context.log.write(log_class::Routine, "request_placed",
         { { "id", m_id }, { "route", m_route->name }, { "routes_version", m_routes->version() }, { "target", target.registration.id },
+            { "data_centre", target.registration.dataCentre },
             { "target_revision", target.registration.revision }, { "attempt", m_sent + 1 }, { "waited_ms", (now - m_arrivedAt).milliseconds() },
             { "probability_bad", probabilityBad }, { "evidence_age_ms", (now - target.belief.lastEvidenceAt()).milliseconds() },
             { "in_flight", target.inFlight }, { "waiting", m_lane->waiting() } });
--- a/gypsumhub/gateway/store_follower.cpp
+++ b/gypsumhub/gateway/store_follower.cpp
@@ -2,7 +2,9 @@
 
 #include "gypsumhub/config/section_reader.h"
 #include "gypsumhub/core/clock.h"
+#include "gypsumhub/core/hash.h"
 #include "gypsumhub/platform/configuration_document.h"
+#include "gypsumhub/platform/kv_client.h"
 #include "gypsumhub/platform/registration_document.h"
 #include "gypsumhub/platform/wire_names.h"
 
@@ -19,6 +21,7 @@
 
     constexpr auto nodePrefix = std::string_view { "gypsumhub/nodes/" };
     constexpr auto callLimit = milliseconds(1500);
+    constexpr auto peerCallLimit = milliseconds(400);
     // A waiting watch costs a call whenever it ends.
     constexpr auto longWait = seconds(29);
     constexpr auto targetWait = milliseconds(1000);
@@ -28,15 +31,15 @@
     constexpr auto nodePause = milliseconds(2000);
     constexpr auto checkPause = milliseconds(200);
     constexpr auto retryPause = milliseconds(150);
-    constexpr auto leaseLength = seconds(5);
-    constexpr auto leaseRenewal = milliseconds(1700);
+    constexpr auto leaseLength = seconds(8);
+    constexpr auto leaseRenewal = milliseconds(2600);
     // One differing view may be a datagram under way; two in a row are a lost one.
     constexpr auto differencesBeforeReading = 2U;
 
-    auto formatNode(const gateway_settings& settings) -> std::string
+    auto formatNode(const node_registration& node) -> std::string
     {
-        return json::serialize(json::object { { "data_centre", settings.dataCentre }, { "caller_address", formatEndpoint(settings.callerAddress) },
-            { "peer_address", formatEndpoint(settings.peerAddress) } });
+        return json::serialize(json::object { { "data_centre", node.dataCentre }, { "caller_address", formatEndpoint(node.callerAddress) },
+            { "peer_address", formatEndpoint(node.peerAddress) }, { "store_delay", std::to_string(node.storeDelay.milliseconds()) + "ms" } });
     }
 
     auto parseNode(const store_entry& entry) -> std::optional<node_registration>
@@ -54,7 +57,7 @@
         auto peer = parseEndpoint(textOf("peer_address"));
         if (!caller || !peer)
             return std::nullopt;
-        return node_registration { entry.key.substr(nodePrefix.size()), textOf("data_centre"), *caller, *peer };
+        return node_registration { entry.key.substr(nodePrefix.size()), textOf("data_centre"), *caller, *peer, parseDuration(textOf("store_delay")).value_or(duration {}) };
     }
 
     auto textOf(const fault_list& list) -> std::string
@@ -116,6 +119,12 @@
 {
     auto key = std::string(wire_names::configurationKey);
     for (auto revision = uint64_t { 0 };;) {
+        if (m_context.routes && !m_context.roster.watchesConfiguration(bootClockNow())) {
+            // Another node watches for this one; its hello tells of a newer version.
+            revision = 0;
+            co_await pause(checkPause);
+            continue;
+        }
         if (revision == 0) {
             revision = co_await readConfiguration();
             if (revision == 0)
@@ -134,16 +143,43 @@
     }
 }
 
-auto store_follower::catchUpConfiguration() -> task<>
+auto store_follower::listAt(std::string node, std::string prefix) -> task<keyspace_result<key_listing>>
+{
+    if (auto* peer = m_context.roster.find(node)) {
+        auto client = kv_client(m_context.io, peer->peerAddress);
+        auto listed = co_await client.list(prefix, bootClockNow() + peerCallLimit);
+        if (listed.status == keyspace_status::Ok)
+            co_return listed;
+        m_context.log.write(log_class::Notable, "peer_list_failed", { { "node", node }, { "prefix", prefix } });
+    }
+    auto listed = co_await m_store.list(prefix, bootClockNow() + callLimit);
+    noteStore("catch_up", listed.status);
+    co_return listed;
+}
+
+auto store_follower::catchUpConfiguration(std::string from) -> task<>
 {
-    // The watch may hang on a path that has died unnoticed; this call opens its own.
     m_isCatchingUp = true;
-    auto revision = co_await readConfiguration();
-    if (revision == 0)
+    auto listed = co_await listAt(from, std::string(wire_names::configurationKey));
+    if (listed.status == keyspace_status::Ok) {
+        for (auto& entry : listed.value.entries)
+            takeConfiguration(entry);
+    } else
         co_await pause(retryPause);
     m_isCatchingUp = false;
 }
 
+auto store_follower::catchUpNodes(std::string from) -> task<>
+{
+    m_isCatchingUpNodes = true;
+    auto listed = co_await listAt(from, std::string(nodePrefix));
+    if (listed.status == keyspace_status::Ok)
+        takeNodes(listed.value);
+    else
+        co_await pause(retryPause);
+    m_isCatchingUpNodes = false;
+}
+
 auto store_follower::takeConfiguration(const store_entry& entry) -> void
 {
     if (entry.key != wire_names::configurationKey)
@@ -157,6 +193,7 @@
             m_context.log.write(log_class::Notable, "configuration_taken",
                 { { "version", table->version() }, { "before", known }, { "revision", entry.modRevision }, { "routes", table->routes().size() } });
             m_context.routes = table;
+            m_configuration = entry;
             m_listeners.progress();
             return {};
         },
@@ -278,16 +315,24 @@
             changes.push_back(std::move(*taken));
     }
     apply(changes);
+    // The first node of a distant data centre passes on what it is fed.
+    if (m_context.roster.isFedFromAfar(bootClockNow()) || m_context.roster.isReader(bootClockNow()))
+        m_listeners.spread(changes);
 }
 
 auto store_follower::takeHello(const node_hello& hello) -> void
 {
     auto now = bootClockNow();
     if (m_context.routes && hello.configurationVersion > m_context.routes->version() && !m_isCatchingUp)
-        asio::co_spawn(m_context.io.get_executor(), catchUpConfiguration(), asio::detached);
+        asio::co_spawn(m_context.io.get_executor(), catchUpConfiguration(hello.name), asio::detached);
     auto* reader = m_context.roster.reader(now);
     if (!reader || reader->name != hello.name)
         return;
+    m_nodeDifferences = hello.nodesDigest == nodesDigest() ? 0 : m_nodeDifferences + 1;
+    if (m_nodeDifferences >= differencesBeforeReading && !m_isCatchingUpNodes) {
+        m_nodeDifferences = 0;
+        asio::co_spawn(m_context.io.get_executor(), catchUpNodes(hello.name), asio::detached);
+    }
     if (hello.viewDigest == m_context.view.digest()) {
         m_differences = 0;
         m_context.viewConfirmedAt = std::max(m_context.viewConfirmedAt, now - hello.viewAge);
@@ -307,23 +352,46 @@
 
 auto store_follower::takeNode(const store_entry& entry) -> void
 {
+    m_nodes[entry.key] = entry;
     if (auto node = parseNode(entry))
         m_context.roster.noteRegistered(*node, bootClockNow());
     else
         m_context.log.write(log_class::Notable, "node_refused", { { "key", entry.key }, { "revision", entry.modRevision } });
 }
 
+auto store_follower::takeNodes(const key_listing& listing) -> void
+{
+    auto gone = m_nodes;
+    for (auto& entry : listing.entries) {
+        gone.erase(entry.key);
+        takeNode(entry);
+    }
+    for (auto& [key, entry] : gone) {
+        m_nodes.erase(key);
+        m_context.roster.noteUnregistered(key.substr(nodePrefix.size()), bootClockNow());
+    }
+}
+
+auto store_follower::readNodes() -> task<uint64_t>
+{
+    auto listed = co_await m_store.list(std::string(nodePrefix), bootClockNow() + callLimit);
+    if (!noteStore("nodes", listed.status))
+        co_return 0;
+    takeNodes(listed.value);
+    co_return listed.value.revision;
+}
+
 auto store_follower::followNodes() -> task<>
 {
     auto prefix = std::string(nodePrefix);
     for (auto revision = uint64_t { 0 };;) {
+        if (!m_nodes.empty() && !m_context.roster.isReader(bootClockNow())) {
+            revision = 0;
+            co_await pause(checkPause);
+            continue;
+        }
         if (revision == 0) {
-            auto listed = co_await m_store.list(prefix, bootClockNow() + callLimit);
-            if (noteStore("nodes", listed.status)) {
-                revision = listed.value.revision;
-                for (auto& entry : listed.value.entries)
-                    takeNode(entry);
-            }
+            revision = co_await readNodes();
             co_await pause(nodePause);
             continue;
         }
@@ -331,10 +399,10 @@
         if (noteStore("nodes", followed.status)) {
             revision = followed.value.revision;
             for (auto& change : followed.value.changes) {
-                if (change.isRemoval)
-                    m_context.roster.noteUnregistered(change.entry.key.substr(prefix.size()), bootClockNow());
-                else
+                if (!change.isRemoval)
                     takeNode(change.entry);
+                else if (m_nodes.erase(change.entry.key) > 0)
+                    m_context.roster.noteUnregistered(change.entry.key.substr(prefix.size()), bootClockNow());
             }
         } else
             revision = 0;
@@ -342,6 +410,28 @@
     }
 }
 
+auto store_follower::listFor(std::string_view prefix) const -> std::optional<key_listing>
+{
+    auto listing = key_listing {};
+    if (prefix == wire_names::configurationKey) {
+        if (m_context.routes)
+            listing.entries.push_back(m_configuration);
+    } else if (prefix == nodePrefix) {
+        for (auto& [key, entry] : m_nodes)
+            listing.entries.push_back(entry);
+    } else
+        return std::nullopt;
+    return listing;
+}
+
+auto store_follower::nodesDigest() const -> uint64_t
+{
+    auto sum = uint64_t { 0 };
+    for (auto& [key, entry] : m_nodes)
+        sum += mixHashes(hashName(key), entry.modRevision);
+    return sum;
+}
+
 auto store_follower::keepRegistration() -> task<>
 {
     auto isRegistered = false;
@@ -354,7 +444,8 @@
         }
         if (m_lease != 0 && !isRegistered) {
             auto key = std::string(nodePrefix) + m_context.settings.name;
-            auto status = co_await m_store.put(std::move(key), formatNode(m_context.settings), m_lease, bootClockNow() + callLimit);
+            m_context.roster.setStoreDelay(m_store.leastDelay());
+            auto status = co_await m_store.put(std::move(key), formatNode(m_context.roster.own()), m_lease, bootClockNow() + callLimit);
             isRegistered = noteStore("registration", status);
             if (status == keyspace_status::LeaseGone)
                 m_lease = 0;
--- a/gypsumhub/gateway/store_follower.h
+++ b/gypsumhub/gateway/store_follower.h
@@ -4,6 +4,8 @@
 #include "gypsumhub/store/keyspace.h"
 
 #include <functional>
+#include <map>
+#include <optional>
 #include <span>
 #include <string_view>
 
@@ -16,7 +18,7 @@
     struct listeners {
         /// Changes of registrations that the other nodes of the data centre need.
         std::function<void(std::span<const view_change>)> spread;
-        /// The node is registered and knows routes and targets.
+        /// The node knows more than before and says so.
         std::function<void()> progress;
     };
 
@@ -32,6 +34,10 @@
     /// Carries out removals whose time has come.
     auto tick() -> void;
 
+    /// The entries under a prefix as this node knows them, for other nodes; nothing for prefixes that it does not keep.
+    auto listFor(std::string_view prefix) const -> std::optional<key_listing>;
+    auto nodesDigest() const -> uint64_t;
+
     auto hasTargets() const -> bool { return m_hasTargets; }
 
 private:
@@ -40,7 +46,12 @@
     auto followNodes() -> task<>;
     auto keepRegistration() -> task<>;
     auto readConfiguration() -> task<uint64_t>;
-    auto catchUpConfiguration() -> task<>;
+    auto catchUpConfiguration(std::string from) -> task<>;
+    auto catchUpNodes(std::string from) -> task<>;
+    /// Lists a prefix at another node, or at the store when that node does not answer.
+    auto listAt(std::string node, std::string prefix) -> task<keyspace_result<key_listing>>;
+    auto takeNodes(const key_listing&) -> void;
+    auto readNodes() -> task<uint64_t>;
     auto readTargets() -> task<bool>;
     auto readTargetChanges() -> task<bool>;
     auto takeConfiguration(const store_entry&) -> void;
@@ -61,6 +72,11 @@
     bool m_mustList { true };
     bool m_isLost { false };
     bool m_isCatchingUp { false };
+    bool m_isCatchingUpNodes { false };
+    uint32_t m_nodeDifferences { 0 };
+    /// What this node knows of the store's entries, as they were written.
+    store_entry m_configuration;
+    std::map<std::string, store_entry, std::less<>> m_nodes;
 };
 
 } // namespace gypsumhub
--- a/gypsumhub/platform/kv_client.cpp
+++ b/gypsumhub/platform/kv_client.cpp
@@ -19,6 +19,7 @@
     constexpr auto largestAnswer = size_t { 4 * 1024 * 1024 };
     // The answer to a waiting watch travels and may be slow beyond the wait itself.
     constexpr auto watchGrace = milliseconds(1500);
+    constexpr auto watchPath = std::string_view { "/gypsumhub/kv-watch" };
     constexpr auto longestIdle = milliseconds(1000);
     constexpr auto mostIdleConnections = size_t { 3 };
 
@@ -109,6 +110,8 @@
 auto kv_client::call(http::verb method, std::string path, std::string body, time_point deadline) -> task<reply>
 {
     ++m_calls;
+    auto calledAt = bootClockNow();
+    auto isWatch = path.starts_with(watchPath);
     auto used = takeConnection();
     // The socket is closed at the deadline, which ends whatever operation waits on it.
     used->timer.arm(deadline, [&socket = used->socket] { closeNow(socket); });
@@ -139,6 +142,8 @@
     if (parseError && result.status == keyspace_status::Ok && !parser.get().body().empty())
         result.status = keyspace_status::Refused;
     used->idleSince = bootClockNow();
+    if (!isWatch && result.status == keyspace_status::Ok)
+        m_leastDelay = std::min(m_leastDelay, used->idleSince - calledAt);
     if (parser.get().keep_alive() && m_idle.size() < mostIdleConnections)
         m_idle.push_back(std::move(used));
     co_return result;
@@ -172,10 +177,26 @@
     co_return result;
 }
 
+auto formatListing(const key_listing& listing) -> std::string
+{
+    auto items = json::array {};
+    for (auto& entry : listing.entries)
+        items.push_back(json::object { { "key", entry.key }, { "value", toBase64(entry.value) }, { "rev", entry.modRevision } });
+    return json::serialize(json::object { { "items", items }, { "has_more", false }, { "store_revision", listing.revision } });
+}
+
+auto readListingPrefix(std::string_view target) -> std::optional<std::string>
+{
+    constexpr auto start = std::string_view { "/gypsumhub/kv-range?prefix=" };
+    if (!target.starts_with(start))
+        return std::nullopt;
+    return std::string(target.substr(start.size()));
+}
+
 auto kv_client::follow(std::string prefix, uint64_t revision, time_point waitUntil) -> task<keyspace_result<key_changes>>
 {
     auto wait = std::max<int64_t>((waitUntil - bootClockNow()).milliseconds(), 1);
-    auto path = "/gypsumhub/kv-watch?prefix=" + escapeQuery(prefix) + "&after=" + std::to_string(revision) + "&wait_ms=" + std::to_string(wait);
+    auto path = std::string(watchPath) + "?prefix=" + escapeQuery(prefix) + "&after=" + std::to_string(revision) + "&wait_ms=" + std::to_string(wait);
     auto answer = co_await call(http::verb::get, std::move(path), {}, waitUntil + watchGrace);
     auto result = keyspace_result<key_changes> { answer.status };
     auto* events = arrayAt(answer.body, "events");
--- a/gypsumhub/platform/kv_client.h
+++ b/gypsumhub/platform/kv_client.h
@@ -23,6 +23,7 @@
     auto endLease(uint64_t lease, time_point deadline) -> task<keyspace_status> override;
     auto put(std::string key, std::string value, uint64_t lease, time_point deadline) -> task<keyspace_status> override;
 
+    auto leastDelay() const -> duration override { return m_leastDelay; }
     /// Calls sent since the start.
     auto callCount() const -> uint64_t { return m_calls; }
 
@@ -41,6 +42,13 @@
     /// Kept open between calls; a connection whose call failed is never used again.
     std::vector<std::unique_ptr<connection>> m_idle;
     uint64_t m_calls { 0 };
+    duration m_leastDelay { seconds(10) };
 };
 
+/// Entries as a node hands them to another in the store's own form, so that the same client reads both.
+auto formatListing(const key_listing&) -> std::string;
+
+/// The prefix that a request for a listing names, or nothing when it is another request.
+auto readListingPrefix(std::string_view target) -> std::optional<std::string>;
+
 } // namespace gypsumhub
--- a/gypsumhub/store/keyspace.h
+++ b/gypsumhub/store/keyspace.h
@@ -62,6 +62,8 @@
     virtual auto grantLease(duration ttl, time_point deadline) -> task<keyspace_result<uint64_t>> = 0;
     virtual auto renewLease(uint64_t lease, time_point deadline) -> task<keyspace_status> = 0;
     virtual auto endLease(uint64_t lease, time_point deadline) -> task<keyspace_status> = 0;
+    /// The shortest time that a call took which the store answers at once.
+    virtual auto leastDelay() const -> duration = 0;
     /// Writes a key that goes with the lease.
     virtual auto put(std::string key, std::string value, uint64_t lease, time_point deadline) -> task<keyspace_status> = 0;
 };
--- a/unit_tests/decision/selection/node_roster_test.cpp
+++ b/unit_tests/decision/selection/node_roster_test.cpp
@@ -83,3 +83,29 @@
     auto roster = makeRoster("n1");
     CHECK_FALSE(roster.group("host", "b1", 3, at(100)).empty());
 }
+
+TEST_CASE("the first node of a distant data centre learns from a node near the store, the others from the first")
+{
+    auto far = makeNode("n4", "b1");
+    far.storeDelay = milliseconds(52);
+    auto roster = node_roster(far);
+    roster.setOwn(true, false);
+    auto near = makeNode("n1", "a1");
+    near.storeDelay = milliseconds(5);
+    roster.noteRegistered(near, at(0));
+    CHECK(roster.isReader(at(0)));
+    // It says hello to the one near the store, which answers with its own.
+    REQUIRE(roster.audience(at(0)).size() == 1);
+    roster.noteHello(makeHello("n1"), at(100));
+    CHECK(roster.isFedFromAfar(at(100)));
+    CHECK_FALSE(roster.watchesConfiguration(at(100)));
+    auto first = makeNode("n3", "b1");
+    first.storeDelay = milliseconds(52);
+    roster.noteRegistered(first, at(200));
+    roster.noteHello(makeHello("n3"), at(200));
+    CHECK(roster.reader(at(200))->name == "n3");
+    CHECK_FALSE(roster.isFedFromAfar(at(200)));
+    // Both fall silent: this node reads the store itself.
+    CHECK(roster.isReader(at(5'000)));
+    CHECK(roster.watchesConfiguration(at(5'000)));
+}
--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -78,9 +78,9 @@
     {
         for (auto& node : nodes)
             node->requestStop();
-        for (auto& thread : threads)
+        for (auto& thread : m_threads)
             thread.join();
-        std::fclose(log);
+        std::fclose(m_log);
     }
 
     static auto targetId(int index) -> std::string { return "i-target" + std::to_string(index); }
@@ -127,7 +127,7 @@
         auto text = std::string {};
         auto hasEnd = [&] {
             text.clear();
-            auto* reading = std::fopen(logPath.c_str(), "r");
+            auto* reading = std::fopen(m_logPath.c_str(), "r");
             auto line = std::array<char, 4096> {};
             while (std::fgets(line.data(), line.size(), reading)) {
                 if (std::string_view(line.data()).find("\"" + id + "\"") != std::string_view::npos)
@@ -158,9 +158,9 @@
         settings.peerAddress = addressOf(index, 17'804);
         settings.storeAddress = { "127.0.0.1", store.port() };
         settings.stopLimit = milliseconds(2'000);
-        settings.logDescriptor = ::fileno(log);
+        settings.logDescriptor = ::fileno(m_log);
         nodes.push_back(std::make_unique<gateway_node>(settings, "none.ini"));
-        threads.emplace_back([node = nodes.back().get()] {
+        m_threads.emplace_back([node = nodes.back().get()] {
             auto isOk = leaf::try_handle_all(
                 [&]() -> leaf::result<bool> {
                     BOOST_LEAF_CHECK(node->run());
@@ -171,9 +171,9 @@
         });
     }
 
-    std::string logPath { "/tmp/gypsumhub_gateway_test." + std::to_string(::getpid()) + ".log" };
-    std::FILE* log { std::fopen(logPath.c_str(), "w+") };
-    std::vector<std::thread> threads;
+    std::string m_logPath { "/tmp/gypsumhub_gateway_test." + std::to_string(::getpid()) + ".log" };
+    std::FILE* m_log { std::fopen(m_logPath.c_str(), "w+") };
+    std::vector<std::thread> m_threads;
 };
 
 } // namespace gypsumhub
