--- a/gypsumhub/decision/selection/target_board.cpp
+++ b/gypsumhub/decision/selection/target_board.cpp
@@ -32,9 +32,9 @@
 
     auto isTurnOf(const target_state& target, double bad, bool isFailing, time_point now) -> bool
     {
-        if (target.lastChosenAt == time_point {})
-            return true;
-        return isFailing && bad < turnLimit && now >= target.lastChosenAt + turnInterval;
+        if (bad >= turnLimit)
+            return false;
+        return target.lastChosenAt == time_point {} || (isFailing && now >= target.lastChosenAt + turnInterval);
     }
 
     auto isFull(const target_state& target, time_point now) -> bool
--- /dev/null
+++ b/gypsumhub/gateway/configuration_follower.cpp
@@ -0,0 +1,114 @@
+#include "gypsumhub/gateway/configuration_follower.h"
+
+#include "gypsumhub/core/clock.h"
+#include "gypsumhub/platform/configuration_document.h"
+#include "gypsumhub/platform/wire_names.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace gypsumhub {
+
+configuration_follower::configuration_follower(store_access& access, std::function<void()> onProgress)
+    : m_access(access)
+    , m_onProgress(std::move(onProgress))
+{
+}
+
+auto configuration_follower::start() -> void
+{
+    asio::co_spawn(m_access.context().io.get_executor(), follow(), asio::detached);
+}
+
+auto configuration_follower::takeHello(const node_hello& hello) -> void
+{
+    auto& routes = m_access.context().routes;
+    if (routes && hello.configurationVersion > routes->version() && !m_isCatchingUp)
+        asio::co_spawn(m_access.context().io.get_executor(), catchUp(hello.name), asio::detached);
+}
+
+auto configuration_follower::list() const -> key_listing
+{
+    auto listing = key_listing {};
+    if (!m_entry.key.empty())
+        listing.entries.push_back(m_entry);
+    return listing;
+}
+
+auto configuration_follower::read() -> task<uint64_t>
+{
+    auto listed = co_await m_access.store().list(std::string(wire_names::configurationKey), bootClockNow() + storeCallLimit);
+    if (!m_access.noteStore("configuration", listed.status))
+        co_return 0;
+    for (auto& entry : listed.value.entries)
+        take(entry);
+    co_return listed.value.revision;
+}
+
+auto configuration_follower::follow() -> task<>
+{
+    auto key = std::string(wire_names::configurationKey);
+    for (auto revision = uint64_t { 0 };;) {
+        if (m_access.context().routes && !m_access.context().roster.watchesConfiguration(bootClockNow())) {
+            // Another node watches for this one; its hello tells of a newer version.
+            revision = 0;
+            co_await m_access.pause(readerCheckPause);
+            continue;
+        }
+        if (revision == 0) {
+            revision = co_await read();
+            if (revision == 0)
+                co_await m_access.pause(storeRetryPause);
+            continue;
+        }
+        auto followed = co_await m_access.store().follow(key, revision, bootClockNow() + longestWatch);
+        if (m_access.noteStore("configuration", followed.status)) {
+            revision = followed.value.revision;
+            for (auto& change : followed.value.changes)
+                take(change.entry);
+        } else {
+            revision = 0;
+            co_await m_access.pause(storeRetryPause);
+        }
+    }
+}
+
+auto configuration_follower::catchUp(std::string from) -> task<>
+{
+    m_isCatchingUp = true;
+    auto listed = co_await m_access.listAt(from, std::string(wire_names::configurationKey));
+    if (listed.status == keyspace_status::Ok) {
+        for (auto& entry : listed.value.entries)
+            take(entry);
+    } else
+        co_await m_access.pause(storeRetryPause);
+    m_isCatchingUp = false;
+}
+
+auto configuration_follower::take(const store_entry& entry) -> void
+{
+    if (entry.key != wire_names::configurationKey)
+        return;
+    auto known = m_access.context().routes ? m_access.context().routes->version() : 0;
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(table, readConfigurationDocument(entry.value));
+            if (table->version() <= known)
+                return {};
+            m_access.context().log.write(log_class::Notable, "configuration_taken",
+                { { "version", table->version() }, { "before", known }, { "revision", entry.modRevision }, { "routes", table->routes().size() } });
+            m_access.context().routes = table;
+            m_entry = entry;
+            m_onProgress();
+            return {};
+        },
+        [&](const fault_list& faults) {
+            m_access.context().log.write(log_class::Notable, "configuration_refused",
+                { { "key", entry.key }, { "revision", entry.modRevision }, { "reason", joinMessages(faults) }, { "in_force", known } });
+        },
+        [&] {
+            m_access.context().log.write(log_class::Notable, "configuration_refused", { { "key", entry.key }, { "revision", entry.modRevision }, { "in_force", known } });
+        });
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/gateway/node_follower.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "gypsumhub/gateway/store_access.h"
+
+#include <map>
+#include <optional>
+
+namespace gypsumhub {
+
+/// Keeps the registrations of all nodes, and the node's own one under a lease.
+class node_follower {
+public:
+    explicit node_follower(store_access&);
+
+    auto start() -> void;
+    /// Ends the node's registration.
+    auto unregister() -> void;
+    /// Takes in a hello of the node that this one learns from.
+    auto takeReaderHello(const node_hello&) -> void;
+    auto list() const -> key_listing;
+    /// Equal for two nodes that know the same registrations.
+    auto digest() const -> uint64_t;
+
+    /// Where nodes register in the store.
+    static constexpr auto prefix = std::string_view { "gypsumhub/nodes/" };
+
+private:
+    auto follow() -> task<>;
+    auto read() -> task<uint64_t>;
+    auto catchUp(std::string from) -> task<>;
+    auto keepRegistration() -> task<>;
+    auto take(const store_entry&) -> void;
+    auto takeAll(const key_listing&) -> void;
+    auto remove(const std::string& key) -> void;
+
+    store_access& m_access;
+    uint64_t m_lease { 0 };
+    /// Hellos in a row whose digest differs from this node's.
+    uint32_t m_differences { 0 };
+    bool m_isCatchingUp { false };
+    /// As they were written, by key.
+    std::map<std::string, store_entry, std::less<>> m_entries;
+};
+
+} // namespace gypsumhub
--- a/gypsumhub/gateway/request_run.cpp
+++ b/gypsumhub/gateway/request_run.cpp
@@ -153,7 +153,7 @@
         return true;
     }
     ++m_context.counters.repeatsDenied;
-    m_reason = "repeats_spent";
+    m_reason += m_reason.empty() ? "repeats_spent" : ",repeats_spent";
     return false;
 }
 
@@ -181,6 +181,7 @@
     auto link = co_await openLink(target);
     if (!link) {
         ++m_unopened;
+        m_reason = "target_unreachable";
         co_return attempt_end::NotSent;
     }
     auto now = bootClockNow();
@@ -237,6 +238,7 @@
     }
     if (status == 421 || answer.find(wire_names::notExecuted) != answer.end()) {
         ++m_context.counters.declinedByTarget;
+        m_reason = "target_declined";
         if (status != 421)
             m_context.board.noteFull(target, now);
         return attempt_end::NotRun;
--- /dev/null
+++ b/gypsumhub/gateway/store_access.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "gypsumhub/gateway/gateway_context.h"
+#include "gypsumhub/store/keyspace.h"
+
+#include <string>
+#include <string_view>
+
+namespace gypsumhub {
+
+/// How a node's followers reach the store, and the nodes that know what it holds.
+class store_access {
+public:
+    store_access(gateway_context&, keyspace&);
+
+    auto context() -> gateway_context& { return m_context; }
+    auto context() const -> const gateway_context& { return m_context; }
+    auto store() -> keyspace& { return m_store; }
+
+    /// Takes in how a call ended; logs when the store is lost or regained. Returns whether it succeeded.
+    auto noteStore(std::string_view call, keyspace_status) -> bool;
+    /// Waits for about this long, spread so that nodes that failed together do not come back together.
+    auto pause(duration) -> task<>;
+    /// Lists a prefix at another node, or at the store when that node does not answer.
+    auto listAt(std::string node, std::string prefix) -> task<keyspace_result<key_listing>>;
+
+private:
+    gateway_context& m_context;
+    keyspace& m_store;
+    bool m_isLost { false };
+};
+
+/// The messages of all faults, for a log line.
+auto joinMessages(const fault_list&) -> std::string;
+
+/// Longest time for a call to the store that it answers at once.
+constexpr auto storeCallLimit = milliseconds(1500);
+/// A waiting watch costs a call whenever it ends; the store allows 30 s.
+constexpr auto longestWatch = seconds(29);
+/// After a failed call.
+constexpr auto storeRetryPause = milliseconds(150);
+/// While another node reads for this one.
+constexpr auto readerCheckPause = milliseconds(200);
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/gateway/target_follower.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "gypsumhub/gateway/store_access.h"
+
+#include <functional>
+#include <optional>
+#include <span>
+
+namespace gypsumhub {
+
+/// Keeps the registrations of all targets: reads their changes at the store, or takes them from the node that does.
+class target_follower {
+public:
+    struct listeners {
+        /// Changes that the other nodes need.
+        std::function<void(std::span<const view_change>)> spread;
+        /// The node knows more than before and says so.
+        std::function<void()> progress;
+    };
+
+    target_follower(store_access&, listeners);
+
+    auto start() -> void;
+    /// Takes in changes that another node has read.
+    auto takeChanges(std::span<const view_change>) -> void;
+    /// Takes in a hello of the node that this one learns from.
+    auto takeReaderHello(const node_hello&) -> void;
+    /// Carries out removals whose time has come.
+    auto tick() -> void;
+    /// Whether the registrations were read at least once.
+    auto hasTargets() const -> bool { return m_hasTargets; }
+
+private:
+    auto follow() -> task<>;
+    auto readAll() -> task<bool>;
+    auto readChanges() -> task<bool>;
+    auto readEntry(const store_entry&) -> std::optional<target_registration>;
+    auto apply(std::span<const view_change>) -> void;
+
+    store_access& m_access;
+    listeners m_listeners;
+    uint64_t m_revision { 0 };
+    /// Hellos in a row whose view differs from this node's.
+    uint32_t m_differences { 0 };
+    bool m_hasTargets { false };
+    bool m_mustList { true };
+};
+
+} // namespace gypsumhub
