The floor of near targets at all times; configuration watched by nodes that the store serves

Now only nodes with a fresh view count as watchers, so that the next ones take over. FLOOR at 30.0 s: all machines lost power at 32.06 s, 18 of 145 requests of the window were in flight and failed, and 3 of 9 sound targets had served nothing. What fails then cannot be seen before, so near targets serve in turn whenever fewer than seven tenths of them did so within a second.

--- a/gypsumhub/config/selection_settings.h
+++ b/gypsumhub/config/selection_settings.h
@@ -16,8 +16,8 @@
     /// A failed request that can be sent again loses little beyond its time.
     double repeatableLoss { 0.3 };
     /// Advantage of a near target whose turn has come: one that has served nothing since the node started, or, while many
-    /// requests of the service fail, one that has idled for long. What fails must not be left to a few targets.
-    double turn { 0.4 };
+    /// requests of the service fail or few of its targets serve, one that has idled. A service must not be left to a few.
+    double turn { 0.25 };
     /// A free target that is worse than a busy one by more than this is not worth it: the request waits for the busy one.
     double worthWaiting { 0.2 };
 };
--- a/gypsumhub/decision/selection/node_roster.cpp
+++ b/gypsumhub/decision/selection/node_roster.cpp
@@ -132,10 +132,12 @@
 
 auto node_roster::watchesConfiguration(time_point now) const -> bool
 {
+    auto limit = hasNearerStore() ? fedReaderAgeLimit : readerAgeLimit;
     auto before = 0;
     for (auto& [name, other] : m_nodes) {
         auto isNear = other.registration.dataCentre == m_own.dataCentre;
-        if (isNear && name < m_own.name && isHeard(other, now))
+        // One that the store turns away watches in vain.
+        if (isNear && name < m_own.name && isHeard(other, now) && other.hello.viewAge < limit)
             ++before;
     }
     return before == 0 ? !feeder(now) : before == 1 && !hasNearerStore();
--- a/gypsumhub/decision/selection/target_board.cpp
+++ b/gypsumhub/decision/selection/target_board.cpp
@@ -20,7 +20,9 @@
     constexpr auto firstTrial = -10.0;
     // Time for a target that has joined to be known to all nodes.
     constexpr auto trialDelay = milliseconds(1000);
-    // While a service fails, each of its targets that may be good serves at least this often.
+    // Fewer targets of a service must not carry all of it: when all nodes end at once, what they had in flight fails.
+    constexpr auto leastServingShare = 0.7;
+    // While a service fails, or few of its targets serve, each of its targets that may be good serves at least this often.
     constexpr auto turnInterval = milliseconds(1000);
     constexpr auto turnLimit = 0.75;
     // A service fails when this share of its requests of the last second or so did.
@@ -30,11 +32,11 @@
     // Between equals, so that not all nodes take the same one.
     constexpr auto tieBreak = 0.005;
 
-    auto isTurnOf(const target_state& target, double bad, bool isFailing, time_point now) -> bool
+    auto isTurnOf(const target_state& target, double bad, bool isTurnDue, time_point now) -> bool
     {
         if (bad >= turnLimit)
             return false;
-        return target.lastChosenAt == time_point {} || (isFailing && now >= target.lastChosenAt + turnInterval);
+        return target.lastChosenAt == time_point {} || (isTurnDue && now >= target.lastChosenAt + turnInterval);
     }
 
     auto isFull(const target_state& target, time_point now) -> bool
@@ -123,12 +125,25 @@
     return loss;
 }
 
+auto target_board::servesTooFew(const service_targets& service, time_point now) const -> bool
+{
+    auto usable = 0U, serving = 0U;
+    for (auto& target : service.targets) {
+        if (target->registration.isDraining || target->isClosed || target->registration.dataCentre != m_dataCentre)
+            continue;
+        ++usable;
+        serving += now < target->lastChosenAt + turnInterval || target->inFlight > 0 ? 1 : 0;
+    }
+    return static_cast<double>(serving) < leastServingShare * usable;
+}
+
 auto target_board::choose(const selection_request& request, time_point now) -> selection
 {
     constexpr auto none = std::numeric_limits<double>::infinity();
     auto& service = serviceOf(request.service);
     auto chosen = selection {};
     auto isFailing = service.outcomes > leastOutcomes && service.failures > failingShare * service.outcomes;
+    auto isTurnDue = isFailing || servesTooFew(service, now);
     auto leastFree = none, leastBusy = none;
     for (auto& target : service.targets) {
         if (target->registration.isDraining || target->isClosed || std::ranges::count(request.tried, target->registration.id) > 0)
@@ -143,7 +158,7 @@
         loss += m_random.unit() * tieBreak;
         if (now >= target->trialDueAt)
             loss = firstTrial;
-        else if (target->registration.dataCentre == m_dataCentre && isTurnOf(*target, bad, isFailing, now))
+        else if (target->registration.dataCentre == m_dataCentre && isTurnOf(*target, bad, isTurnDue, now))
             loss -= m_settings.turn;
         if (loss < leastFree) {
             leastFree = loss;
--- a/gypsumhub/decision/selection/target_board.h
+++ b/gypsumhub/decision/selection/target_board.h
@@ -85,6 +85,8 @@
 
     auto serviceOf(std::string_view name) -> service_targets&;
     auto expectedLoss(const target_state&, double bad, bool isRepeatable, time_point now) const -> double;
+    /// Whether less than the floor of the near targets have served lately.
+    auto servesTooFew(const service_targets&, time_point now) const -> bool;
     auto distanceLoss(const target_state&) const -> double;
 
     std::string m_dataCentre;
--- a/unit_tests/decision/selection/node_roster_test.cpp
+++ b/unit_tests/decision/selection/node_roster_test.cpp
@@ -67,6 +67,12 @@
     old.viewAge = seconds(2);
     second.noteHello(old, at(400));
     CHECK(second.isReader(at(400)));
+    // The third one watches the configuration when the store turns the first two away.
+    CHECK_FALSE(third.watchesConfiguration(at(400)));
+    third.noteHello(old, at(400));
+    old.name = "n2";
+    third.noteHello(old, at(400));
+    CHECK(third.watchesConfiguration(at(400)));
 }
 
 TEST_CASE("a node whose lease ended stays as long as it is heard")
