--- a/gypsumhub/config/gateway_settings_reader.cpp
+++ b/gypsumhub/config/gateway_settings_reader.cpp
@@ -1,6 +1,6 @@
 #include "gypsumhub/config/gateway_settings_reader.h"
 
-#include "gypsumhub/config/section_reader.h"
+#include "gypsumhub/config/settings_sections.h"
 
 #include <algorithm>
 #include <array>
@@ -100,13 +100,7 @@
         settings.logLinesPerSecond = reader.number("lines_per_second", { 1, 1'000'000 }, settings.logLinesPerSecond);
     }
 
-    struct settings_section {
-        std::string_view kind;
-        void (*read)(section_reader&, gateway_settings&);
-        bool isRequired;
-    };
-
-    constexpr auto settingsSections = std::to_array<settings_section>({
+    constexpr auto settingsSections = std::to_array<settings_section<gateway_settings>>({
         { "gateway", readGateway, true },
         { "store", readStore, true },
         { "repeats", readRepeats, false },
@@ -119,21 +113,7 @@
     {
         auto settings = gateway_settings {};
         auto faults = fault_list {};
-        for (auto& section : document.sections) {
-            auto row = std::ranges::find(settingsSections, section.kind, &settings_section::kind);
-            if (row == settingsSections.end() || !section.name.empty()) {
-                faults.faults.push_back({ result_code::SettingsInvalid, "section [" + section.kind + "] is unknown", document.file, section.line,
-                    "known sections: [gateway] [store] [repeats] [directory] [selection] [logs]" });
-                continue;
-            }
-            auto reader = section_reader(section, document.file, result_code::SettingsInvalid, faults);
-            row->read(reader, settings);
-            reader.finish();
-        }
-        for (auto& row : settingsSections) {
-            if (row.isRequired && std::ranges::find(document.sections, row.kind, &ini_section::kind) == document.sections.end())
-                faults.faults.push_back({ result_code::SettingsInvalid, "section [" + std::string(row.kind) + "] is missing", document.file, 0, "add the section" });
-        }
+        readSettingsSections<gateway_settings>(document, settingsSections, settings, faults);
         if (faults.faults.empty())
             return settings;
         std::ranges::stable_sort(faults.faults, {}, &fault::line);
--- a/gypsumhub/config/node_settings_reader.cpp
+++ b/gypsumhub/config/node_settings_reader.cpp
@@ -1,6 +1,6 @@
 #include "gypsumhub/config/node_settings_reader.h"
 
-#include "gypsumhub/config/section_reader.h"
+#include "gypsumhub/config/settings_sections.h"
 
 #include <algorithm>
 #include <array>
@@ -72,13 +72,7 @@
         settings.spanLog = reader.text("span_log").value_or("");
     }
 
-    struct settings_section {
-        std::string_view kind;
-        void (*read)(section_reader&, node_settings&);
-        bool isRequired;
-    };
-
-    constexpr auto settingsSections = std::to_array<settings_section>({
+    constexpr auto settingsSections = std::to_array<settings_section<node_settings>>({
         { "node", readNode, true },
         { "store", readStore, false },
         { "list", readList, false },
@@ -92,25 +86,6 @@
         faults.faults.push_back({ result_code::SettingsInvalid, std::move(message), document.file, line, std::move(mend) });
     }
 
-    auto readSections(const ini_document& document, node_settings& settings, fault_list& faults) -> void
-    {
-        for (auto& section : document.sections) {
-            auto row = std::ranges::find(settingsSections, section.kind, &settings_section::kind);
-            if (row == settingsSections.end() || !section.name.empty()) {
-                report(faults, document, section.line, "section [" + section.kind + (section.name.empty() ? "" : " " + section.name) + "] is unknown",
-                    "known sections: [node] [store] [list] [peers] [limits] [logs]");
-                continue;
-            }
-            auto reader = section_reader(section, document.file, result_code::SettingsInvalid, faults);
-            row->read(reader, settings);
-            reader.finish();
-        }
-        for (auto& row : settingsSections) {
-            if (row.isRequired && std::ranges::find(document.sections, row.kind, &ini_section::kind) == document.sections.end())
-                report(faults, document, 0, "section [" + std::string(row.kind) + "] is missing", "add the section");
-        }
-    }
-
     auto checkTogether(const ini_document& document, const node_settings& settings, fault_list& faults) -> void
     {
         if (settings.storeAddresses.empty() && settings.seedPeers.empty())
@@ -127,7 +102,7 @@
     {
         auto settings = node_settings {};
         auto faults = fault_list {};
-        readSections(document, settings, faults);
+        readSettingsSections<node_settings>(document, settingsSections, settings, faults);
         checkTogether(document, settings, faults);
         if (faults.faults.empty())
             return settings;
--- a/gypsumhub/decision/selection/node_roster.cpp
+++ b/gypsumhub/decision/selection/node_roster.cpp
@@ -26,13 +26,11 @@
 {
 }
 
-auto node_roster::noteRegistered(const node_registration& registration, time_point now) -> void
+auto node_roster::noteRegistered(const node_registration& registration) -> void
 {
     if (registration.name == m_own.name)
         return;
-    auto& known = m_nodes[registration.name];
-    known.registration = registration;
-    known.registeredAt = now;
+    m_nodes[registration.name].registration = registration;
 }
 
 auto node_roster::noteUnregistered(std::string_view name, time_point now) -> void
--- a/gypsumhub/decision/selection/node_roster.h
+++ b/gypsumhub/decision/selection/node_roster.h
@@ -40,7 +40,7 @@
 public:
     explicit node_roster(node_registration own);
 
-    auto noteRegistered(const node_registration&, time_point now) -> void;
+    auto noteRegistered(const node_registration&) -> void;
     /// The registration has ended. A node of the data centre that is still heard stays: the store may have lost its lease.
     auto noteUnregistered(std::string_view name, time_point now) -> void;
     auto noteHello(const node_hello&, time_point now) -> void;
@@ -65,15 +65,12 @@
 
     auto find(std::string_view name) const -> const node_registration*;
     auto peers() const -> std::vector<node_registration>;
-    /// Registered nodes, this one included.
-    auto size() const -> uint32_t { return static_cast<uint32_t>(m_nodes.size()) + 1; }
     auto knows(std::string_view name, std::string_view address) const -> bool;
 
 private:
     struct node {
         node_registration registration;
         node_hello hello;
-        time_point registeredAt;
         time_point heardAt;
         bool isHeard { false };
     };
--- a/gypsumhub/decision/selection/target_board.cpp
+++ b/gypsumhub/decision/selection/target_board.cpp
@@ -225,15 +225,4 @@
     target.fullUntil = now + fullPause;
 }
 
-auto target_board::goodSlots(std::string_view name, time_point now) -> double
-{
-    auto& service = serviceOf(name);
-    auto slots = 0.0;
-    for (auto& target : service.targets) {
-        if (!target->registration.isDraining && !target->isClosed)
-            slots += (1 - target->belief.probabilityBad(now, service.model.rates())) * target->registration.slots;
-    }
-    return slots;
-}
-
 } // namespace gypsumhub
--- a/gypsumhub/decision/selection/target_board.h
+++ b/gypsumhub/decision/selection/target_board.h
@@ -69,8 +69,6 @@
     auto noteFull(target_state&, time_point now) -> void;
 
     auto model(std::string_view service) -> service_model&;
-    /// Slots of the service's usable targets, weighted by the probability that each is good.
-    auto goodSlots(std::string_view service, time_point now) -> double;
     auto targets() const -> const std::map<std::string, std::shared_ptr<target_state>, std::less<>>& { return m_targets; }
 
 private:
--- a/gypsumhub/gateway/node_follower.cpp
+++ b/gypsumhub/gateway/node_follower.cpp
@@ -135,7 +135,7 @@
 {
     m_entries[entry.key] = entry;
     if (auto node = parseNode(entry))
-        m_access.context().roster.noteRegistered(*node, bootClockNow());
+        m_access.context().roster.noteRegistered(*node);
     else
         m_access.context().log.write(log_class::Notable, "node_refused", { { "key", entry.key }, { "revision", entry.modRevision } });
 }
--- a/unit_tests/decision/selection/node_roster_test.cpp
+++ b/unit_tests/decision/selection/node_roster_test.cpp
@@ -29,7 +29,7 @@
     auto roster = node_roster(makeNode(own));
     roster.setOwn(true, false);
     for (auto name : { "n1", "n2", "n3" }) {
-        roster.noteRegistered(makeNode(name), at(0));
+        roster.noteRegistered(makeNode(name));
         if (name != own)
             roster.noteHello(makeHello(name), at(0));
     }
@@ -98,7 +98,7 @@
     roster.setOwn(true, false);
     auto near = makeNode("n1", "a1");
     near.storeDelay = milliseconds(5);
-    roster.noteRegistered(near, at(0));
+    roster.noteRegistered(near);
     CHECK(roster.isReader(at(0)));
     // It says hello to the one near the store, which answers with its own.
     REQUIRE(roster.audience(at(0)).size() == 1);
@@ -107,7 +107,7 @@
     CHECK_FALSE(roster.watchesConfiguration(at(100)));
     auto first = makeNode("n3", "b1");
     first.storeDelay = milliseconds(52);
-    roster.noteRegistered(first, at(200));
+    roster.noteRegistered(first);
     roster.noteHello(makeHello("n3"), at(200));
     CHECK(roster.reader(at(200))->name == "n3");
     CHECK_FALSE(roster.isFedFromAfar(at(200)));
