The gateway's end-to-end tests take ports of their own

Cause: scripts/test runs the address sanitizer's tests beside the release ones; both builds of the fixture listened on the same ports.

--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -85,7 +85,9 @@
 
     static auto targetId(int index) -> std::string { return "i-target" + std::to_string(index); }
     static auto addressOf(int index, uint16_t port) -> endpoint { return { "127.0.7." + std::to_string(index + 1), port }; }
-    static auto callerAddress(int index) -> endpoint { return addressOf(index, 17'801); }
+    /// Processes of several builds run this at the same time, so each takes ports of its own.
+    static auto portOf(int purpose) -> uint16_t { return static_cast<uint16_t>(20'000 + ::getpid() % 2'000 * 5 + purpose); }
+    static auto callerAddress(int index) -> endpoint { return addressOf(index, portOf(1)); }
 
     auto configure(int version, const std::string& service) -> void
     {
@@ -104,7 +106,7 @@
         store.put("servers/" + targetId(index), R"({"address":"127.0.0.1:)" + std::to_string(targets[static_cast<size_t>(index)]->port()) + R"(","info":{"service":"bookdesk","version":"v1","data_centre":"a1","slots":4},"status":{"state":")" + state + R"(","sequence":1,"warm_up_left":"0ms"}})");
     }
 
-    auto isReady(int index) -> bool { return ask(addressOf(index, 17'802), http::verb::get, "/gypsumhub/readyz", "").status == 200; }
+    auto isReady(int index) -> bool { return ask(addressOf(index, portOf(2)), http::verb::get, "/gypsumhub/readyz", "").status == 200; }
 
     auto setManner(target_manner manner) -> void
     {
@@ -153,9 +155,9 @@
         settings.region = "a";
         settings.dataCentres = { { "a1", "a" } };
         settings.callerAddress = callerAddress(index);
-        settings.readinessAddress = addressOf(index, 17'802);
-        settings.directoryAddress = addressOf(index, 17'803);
-        settings.peerAddress = addressOf(index, 17'804);
+        settings.readinessAddress = addressOf(index, portOf(2));
+        settings.directoryAddress = addressOf(index, portOf(3));
+        settings.peerAddress = addressOf(index, portOf(4));
         settings.storeAddress = { "127.0.0.1", store.port() };
         settings.stopLimit = milliseconds(2'000);
         settings.logDescriptor = ::fileno(m_log);
--- a/unit_tests/gateway/gateway_path_test.cpp
+++ b/unit_tests/gateway/gateway_path_test.cpp
@@ -5,7 +5,7 @@
 TEST_CASE("a gateway serves the whole path: directory, route, target, answer")
 {
     auto fleet = gateway_fixture {};
-    auto directory = ask(gateway_fixture::addressOf(0, 17'803), http::verb::get, "/gypsumhub/resolve?name=h.example&region=a&data_centre=a1", "");
+    auto directory = ask(gateway_fixture::addressOf(0, gateway_fixture::portOf(3)), http::verb::get, "/gypsumhub/resolve?name=h.example&region=a&data_centre=a1", "");
     CHECK(directory.status == 200);
     CHECK(directory.body.find("127.0.7.") != std::string::npos);
     for (auto node = 0; node < 2; ++node) {
@@ -91,7 +91,7 @@
     CHECK(eventually([&] { return !fleet.isReady(0); }));
     CHECK(ask(gateway_fixture::callerAddress(0), http::verb::post, "/unsafe/", "late").status == 200);
     auto isListed = [&](int asked) {
-        auto answer = ask(gateway_fixture::addressOf(asked, 17'803), http::verb::get, "/gypsumhub/resolve?name=h.example&region=a&data_centre=a1", "");
+        auto answer = ask(gateway_fixture::addressOf(asked, gateway_fixture::portOf(3)), http::verb::get, "/gypsumhub/resolve?name=h.example&region=a&data_centre=a1", "");
         return answer.body.find("127.0.7.1") != std::string::npos;
     };
     CHECK(eventually([&] { return !isListed(1); }));
