A caller that was too slow is logged as such

Cause: read-through. The code of a refused request was worked out in the answer and again, wrongly, in its log line: a caller cut off by the header limit got 408 and the line said "ok". It is worked out once now. Answers are unchanged. Checked: end-to-end tests of the gateway, 11 of 11, release build.

--- a/gypsumhub/gateway/caller_link.cpp
+++ b/gypsumhub/gateway/caller_link.cpp
@@ -47,13 +47,16 @@
         case read_end::Request:
             isOpen = co_await answerRequest(reader.release());
             break;
-        case read_end::Failed:
+        case read_end::Failed: {
+            // The reader knows of no fault when the caller was too slow.
+            auto fault = reader.fault() == result_code::Ok ? result_code::RequestTooSlow : reader.fault();
             ++m_context.counters.badRequests;
             m_context.log.write(log_class::Notable, "request_refused",
-                { { "reason", describe(reader.fault()).name }, { "has_header", reader.hasHeader() } });
-            co_await answerFault(statusOf(reader.fault() == result_code::Ok ? result_code::RequestTooSlow : reader.fault(), reader.hasHeader()));
+                { { "reason", describe(fault).name }, { "has_header", reader.hasHeader() } });
+            co_await answerFault(statusOf(fault, reader.hasHeader()));
             isOpen = false;
             break;
+        }
         case read_end::Closed:
             isOpen = false;
             break;
