Callers of a host go to nodes whose links can carry it; a start asks the store once a data centre

Cause: the directory named one node of a data centre by hash alone. Ruled out: queues in the node (waited_ms 0 at p90), processors (0.01 cores at most).

--- a/gypsumhub/config/gateway_settings.h
+++ b/gypsumhub/config/gateway_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gypsumhub/config/configuration.h"
+#include "gypsumhub/config/node_size.h"
 #include "gypsumhub/config/selection_settings.h"
 #include "gypsumhub/core/time_point.h"
 
@@ -15,6 +16,8 @@
     std::string name;
     std::string dataCentre;
     std::string region;
+    /// Unset parts are 0, and a node of unknown size is never enough alone where the directory asks for some size.
+    node_size size;
     /// Every data centre of the deployment with its region.
     std::vector<std::pair<std::string, std::string>> dataCentres;
     endpoint callerAddress;
@@ -35,8 +38,9 @@
     duration repeatWindow { seconds(10) };
     /// How long callers may keep a directory answer.
     duration directoryLifetime { seconds(2) };
-    /// Nodes of the caller's data centre in a directory answer.
+    /// A directory answer names so many nodes of the caller's data centre, or more until they have this size together.
     uint32_t directoryNodes { 2 };
+    node_size directorySize;
     selection_settings selection;
     /// Log lines a second; more are dropped and counted.
     uint32_t logLinesPerSecond { 200 };
--- a/gypsumhub/config/gateway_settings_reader.cpp
+++ b/gypsumhub/config/gateway_settings_reader.cpp
@@ -27,6 +27,24 @@
             reader.report("data_centres", "the node's own data centre and region are not listed", "add " + settings.dataCentre + ":" + settings.region);
     }
 
+    auto readDecimal(section_reader& reader, std::string_view key, double fallback) -> double
+    {
+        auto text = reader.text(key);
+        if (!text)
+            return fallback;
+        auto value = double {};
+        auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), value);
+        if (error == std::errc {} && end == text->data() + text->size() && std::isfinite(value) && value >= 0)
+            return value;
+        reader.report(key, "\"" + *text + "\" is not a number of 0 or more", "write a decimal number such as 0.2");
+        return fallback;
+    }
+
+    auto readSize(section_reader& reader, node_size fallback) -> node_size
+    {
+        return { readDecimal(reader, "cores", fallback.cores), readDecimal(reader, "link", fallback.linkMegabits) };
+    }
+
     auto readGateway(section_reader& reader, gateway_settings& settings) -> void
     {
         settings.name = reader.requiredText("name", "write the node's name");
@@ -39,6 +57,7 @@
         settings.peerAddress = reader.requiredAddress("peer_address");
         settings.metricsAddress = reader.address("metrics_address").value_or(endpoint {});
         settings.stopLimit = reader.length("stop_limit", settings.stopLimit);
+        settings.size = readSize(reader, settings.size);
     }
 
     auto readStore(section_reader& reader, gateway_settings& settings) -> void
@@ -47,19 +66,6 @@
         settings.shortestLease = reader.length("shortest_lease", settings.shortestLease);
     }
 
-    auto readDecimal(section_reader& reader, std::string_view key, double fallback) -> double
-    {
-        auto text = reader.text(key);
-        if (!text)
-            return fallback;
-        auto value = double {};
-        auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), value);
-        if (error == std::errc {} && end == text->data() + text->size() && std::isfinite(value) && value >= 0)
-            return value;
-        reader.report(key, "\"" + *text + "\" is not a number of 0 or more", "write a decimal number such as 0.2");
-        return fallback;
-    }
-
     auto readRepeats(section_reader& reader, gateway_settings& settings) -> void
     {
         settings.repeatShare = readDecimal(reader, "share", settings.repeatShare);
@@ -71,6 +77,7 @@
     {
         settings.directoryLifetime = reader.length("lifetime", settings.directoryLifetime);
         settings.directoryNodes = reader.number("nodes", { 1, 64 }, settings.directoryNodes);
+        settings.directorySize = readSize(reader, settings.directorySize);
     }
 
     struct weight_row {
--- a/gypsumhub/decision/selection/node_roster.cpp
+++ b/gypsumhub/decision/selection/node_roster.cpp
@@ -3,6 +3,7 @@
 #include "gypsumhub/core/hash.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace gypsumhub {
 
@@ -16,6 +17,12 @@
     constexpr auto fedReaderAgeLimit = milliseconds(1650);
     // A store that another node reaches so much faster is in another region.
     constexpr auto distantStore = milliseconds(10);
+    // The first node of a data centre learns of the others and says its first hellos to them in this time.
+    constexpr auto presumption = milliseconds(2000);
+    // Three listings of a large data centre's registrations take a small link a tenth of a second.
+    constexpr auto startBranches = size_t { 3 };
+    // Callers take no more addresses from one answer of the directory.
+    constexpr auto mostGroupNodes = size_t { 64 };
     // Nodes near the store that a distant one says hello to, so that it can be fed.
     constexpr auto mostFeeders = size_t { 2 };
 
@@ -30,7 +37,9 @@
 {
     if (registration.name == m_own.name)
         return;
-    m_nodes[registration.name].registration = registration;
+    auto& entry = m_nodes[registration.name];
+    entry.registration = registration;
+    entry.hello.name = registration.name;
 }
 
 auto node_roster::noteUnregistered(std::string_view name, time_point now) -> void
@@ -67,26 +76,38 @@
     return isHeard(other, now);
 }
 
-auto node_roster::group(std::string_view host, std::string_view dataCentre, size_t count, time_point now) const -> std::vector<endpoint>
+auto node_roster::group(std::string_view host, std::string_view dataCentre, const group_goal& goal, time_point now) const -> std::vector<endpoint>
 {
+    struct candidate {
+        bool isSmall;
+        uint64_t rank;
+        const node_registration* node;
+    };
     auto hostHash = hashName(host);
-    auto ranked = std::vector<std::pair<uint64_t, endpoint>> {};
+    auto candidates = std::vector<candidate> {};
     auto collect = [&](auto&& accept) {
+        auto add = [&](const node_registration& node) {
+            candidates.push_back({ !node.size.covers(goal.size), mixHashes(hostHash, hashName(node.name)), &node });
+        };
         if (m_isReady && !m_isLeaving && accept(m_own))
-            ranked.emplace_back(mixHashes(hostHash, hashName(m_own.name)), m_own.callerAddress);
+            add(m_own);
         for (auto& [name, other] : m_nodes) {
             if (accept(other.registration) && isAlive(other, now))
-                ranked.emplace_back(mixHashes(hostHash, hashName(name)), other.registration.callerAddress);
+                add(other.registration);
         }
     };
     collect([&](const node_registration& node) { return node.dataCentre == dataCentre; });
-    if (ranked.empty())
+    if (candidates.empty())
         collect([](const node_registration&) { return true; });
-    std::ranges::sort(ranked);
+    std::ranges::sort(candidates, {}, [](auto& entry) { return std::tuple(entry.isSmall, entry.rank); });
     auto addresses = std::vector<endpoint> {};
-    for (auto& [rank, address] : ranked) {
-        if (addresses.size() < count)
-            addresses.push_back(address);
+    auto together = node_size {};
+    for (auto& entry : candidates) {
+        auto isEnough = addresses.size() >= goal.nodes && together.covers(goal.size);
+        if (isEnough || addresses.size() == mostGroupNodes)
+            break;
+        addresses.push_back(entry.node->callerAddress);
+        together += entry.node->size;
     }
     return addresses;
 }
@@ -101,17 +122,45 @@
     return other.registration.storeDelay + distantStore < m_own.storeDelay;
 }
 
+auto node_roster::readsBefore(const node& other, time_point now) const -> bool
+{
+    if (other.registration.dataCentre != m_own.dataCentre || other.registration.name >= m_own.name)
+        return false;
+    if (!other.isHeard)
+        return now < m_presumedUntil;
+    // One that the store turns away reads in vain.
+    return isHeard(other, now) && other.hello.viewAge < (hasNearerStore() ? fedReaderAgeLimit : readerAgeLimit);
+}
+
 auto node_roster::nearReader(time_point now) const -> const node_hello*
 {
-    auto limit = hasNearerStore() ? fedReaderAgeLimit : readerAgeLimit;
     for (auto& [name, other] : m_nodes) {
-        auto isNear = other.registration.dataCentre == m_own.dataCentre;
-        if (isNear && name < m_own.name && isHeard(other, now) && other.hello.viewAge < limit)
+        if (readsBefore(other, now))
             return &other.hello;
     }
     return nullptr;
 }
 
+auto node_roster::startSources() const -> std::vector<std::string>
+{
+    auto before = std::vector<std::string> {};
+    for (auto& [name, other] : m_nodes) {
+        if (other.registration.dataCentre == m_own.dataCentre && name < m_own.name)
+            before.push_back(name);
+    }
+    auto sources = std::vector<std::string> {};
+    for (auto place = before.size(); place > 0;) {
+        place = (place - 1) / startBranches;
+        sources.push_back(before[place]);
+    }
+    return sources;
+}
+
+auto node_roster::noteStart(time_point now) -> void
+{
+    m_presumedUntil = now + presumption;
+}
+
 auto node_roster::feeder(time_point now) const -> const node_hello*
 {
     for (auto& [name, other] : m_nodes) {
@@ -130,14 +179,7 @@
 
 auto node_roster::watchesConfiguration(time_point now) const -> bool
 {
-    auto limit = hasNearerStore() ? fedReaderAgeLimit : readerAgeLimit;
-    auto before = 0;
-    for (auto& [name, other] : m_nodes) {
-        auto isNear = other.registration.dataCentre == m_own.dataCentre;
-        // One that the store turns away watches in vain.
-        if (isNear && name < m_own.name && isHeard(other, now) && other.hello.viewAge < limit)
-            ++before;
-    }
+    auto before = std::ranges::count_if(m_nodes, [&](auto& entry) { return readsBefore(entry.second, now); });
     return before == 0 ? !feeder(now) : before == 1 && !hasNearerStore();
 }
 
--- a/gypsumhub/decision/selection/node_roster.h
+++ b/gypsumhub/decision/selection/node_roster.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gypsumhub/config/configuration.h"
+#include "gypsumhub/config/node_size.h"
 #include "gypsumhub/core/time_point.h"
 
 #include <cstdint>
@@ -19,6 +20,13 @@
     endpoint peerAddress;
     /// The shortest time that a call to the store took; tells which data centres are near the store.
     duration storeDelay {};
+    node_size size;
+};
+
+/// How many nodes a group holds: `nodes` of them, or more until they have `size` together.
+struct group_goal {
+    uint32_t nodes { 1 };
+    node_size size;
 };
 
 /// What a node says of itself to the other nodes of its data centre, several times a second.
@@ -46,9 +54,9 @@
     auto noteHello(const node_hello&, time_point now) -> void;
     auto setOwn(bool isReady, bool isLeaving) -> void;
 
-    /// At most `count` caller addresses of nodes of a data centre for callers of a host, the same on every node that
-    /// hears the same ones; of all data centres when none of that one is alive.
-    auto group(std::string_view host, std::string_view dataCentre, size_t count, time_point now) const -> std::vector<endpoint>;
+    /// Caller addresses of nodes of a data centre for callers of a host, the same on every node that hears the same ones;
+    /// of all data centres when none of that one is alive. Nodes that reach the size alone come before smaller ones.
+    auto group(std::string_view host, std::string_view dataCentre, const group_goal&, time_point now) const -> std::vector<endpoint>;
     /// Whether this node reads the store itself, since it hears no other node that does.
     auto isReader(time_point now) const -> bool { return reader(now) == nullptr; }
     /// The newest hello of the node that this one learns from: the first of its data centre that is up to date, or for that
@@ -60,6 +68,12 @@
     auto watchesConfiguration(time_point now) const -> bool;
     /// The nodes that hear this one's hellos and changes: those of its data centre, those that it feeds and those that feed it.
     auto audience(time_point now) const -> std::vector<node_registration>;
+    /// The nodes that this one asks at its start for what they know, in this order; none for the first of a data centre.
+    /// They form a tree, so that a whole data centre that starts at once loads neither the store nor one node.
+    auto startSources() const -> std::vector<std::string>;
+    /// For a while after the start nodes that come before this one count as heard, so that not all read the store until
+    /// the first hellos arrive.
+    auto noteStart(time_point now) -> void;
     auto setStoreDelay(duration delay) -> void { m_own.storeDelay = delay; }
     auto own() const -> const node_registration& { return m_own; }
 
@@ -77,6 +91,8 @@
 
     auto isAlive(const node&, time_point now) const -> bool;
     auto isHeard(const node&, time_point now) const -> bool;
+    /// Whether a node that comes before this one in the data centre reads for it.
+    auto readsBefore(const node&, time_point now) const -> bool;
     auto isNearerToStore(const node&) const -> bool;
     auto hasNearerStore() const -> bool;
     auto nearReader(time_point now) const -> const node_hello*;
@@ -85,6 +101,7 @@
     node_registration m_own;
     bool m_isReady { false };
     bool m_isLeaving { false };
+    time_point m_presumedUntil {};
     std::map<std::string, node, std::less<>> m_nodes;
 };
 
--- a/gypsumhub/decision/selection/registration_view.cpp
+++ b/gypsumhub/decision/selection/registration_view.cpp
@@ -24,6 +24,7 @@
 
 auto registration_view::put(const target_registration& entry) -> std::optional<view_change>
 {
+    m_revision = std::max(m_revision, entry.revision);
     if (auto removed = m_removed.find(entry.id); removed != m_removed.end()) {
         if (entry.revision <= removed->second)
             return std::nullopt;
@@ -42,6 +43,7 @@
 
 auto registration_view::remove(std::string_view id, uint64_t revision, time_point now) -> std::optional<view_change>
 {
+    m_revision = std::max(m_revision, revision);
     auto known = m_entries.find(id);
     if (known == m_entries.end() || known->second.revision > revision)
         return std::nullopt;
@@ -62,6 +64,7 @@
 
 auto registration_view::replace(std::span<const target_registration> listed, uint64_t revision, time_point now) -> std::vector<view_change>
 {
+    m_revision = std::max(m_revision, revision);
     auto changes = std::vector<view_change> {};
     for (auto& entry : listed) {
         if (auto change = put(entry))
--- a/gypsumhub/decision/selection/registration_view.h
+++ b/gypsumhub/decision/selection/registration_view.h
@@ -38,6 +38,8 @@
 
     /// Equal for two views that route alike.
     auto digest() const -> uint64_t;
+    /// The newest revision taken in.
+    auto revision() const -> uint64_t { return m_revision; }
     auto entries() const -> const std::map<std::string, target_registration, std::less<>>& { return m_entries; }
 
 private:
@@ -46,6 +48,7 @@
     std::map<std::string, uint64_t, std::less<>> m_removed;
     std::map<std::string, time_point, std::less<>> m_held;
     time_point m_troubleUntil {};
+    uint64_t m_revision { 0 };
 };
 
 } // namespace gypsumhub
--- a/gypsumhub/gateway/configuration_follower.cpp
+++ b/gypsumhub/gateway/configuration_follower.cpp
@@ -27,12 +27,11 @@
         asio::co_spawn(m_access.context().io.get_executor(), catchUp(hello.name), asio::detached);
 }
 
-auto configuration_follower::list() const -> key_listing
+auto configuration_follower::list() const -> std::optional<key_listing>
 {
-    auto listing = key_listing {};
-    if (!m_entry.key.empty())
-        listing.entries.push_back(m_entry);
-    return listing;
+    if (m_entry.key.empty())
+        return std::nullopt;
+    return key_listing { { m_entry }, m_entry.modRevision };
 }
 
 auto configuration_follower::read() -> task<uint64_t>
@@ -40,14 +39,16 @@
     auto listed = co_await m_access.store().list(std::string(wire_names::configurationKey), bootClockNow() + storeCallLimit);
     if (!m_access.noteStore("configuration", listed.status))
         co_return 0;
-    for (auto& entry : listed.value.entries)
-        take(entry);
+    takeAll(listed.value);
     co_return listed.value.revision;
 }
 
 auto configuration_follower::follow() -> task<>
 {
     auto key = std::string(wire_names::configurationKey);
+    auto known = co_await m_access.listAtStart(key);
+    if (known)
+        takeAll(*known);
     for (auto revision = uint64_t { 0 };;) {
         if (m_access.context().routes && !m_access.context().roster.watchesConfiguration(bootClockNow())) {
             // Another node watches for this one; its hello tells of a newer version.
@@ -58,7 +59,7 @@
         if (revision == 0) {
             revision = co_await read();
             if (revision == 0)
-                co_await m_access.pause(storeRetryPause);
+                co_await m_access.pauseAfterFailure();
             continue;
         }
         auto followed = co_await m_access.store().follow(key, revision, bootClockNow() + longestWatch);
@@ -68,7 +69,7 @@
                 take(change.entry);
         } else {
             revision = 0;
-            co_await m_access.pause(storeRetryPause);
+            co_await m_access.pauseAfterFailure();
         }
     }
 }
@@ -77,14 +78,19 @@
 {
     m_isCatchingUp = true;
     auto listed = co_await m_access.listAt(from, std::string(wire_names::configurationKey));
-    if (listed.status == keyspace_status::Ok) {
-        for (auto& entry : listed.value.entries)
-            take(entry);
-    } else
-        co_await m_access.pause(storeRetryPause);
+    if (listed.status == keyspace_status::Ok)
+        takeAll(listed.value);
+    else
+        co_await m_access.pauseAfterFailure();
     m_isCatchingUp = false;
 }
 
+auto configuration_follower::takeAll(const key_listing& listing) -> void
+{
+    for (auto& entry : listing.entries)
+        take(entry);
+}
+
 auto configuration_follower::take(const store_entry& entry) -> void
 {
     if (entry.key != wire_names::configurationKey)
--- a/gypsumhub/gateway/configuration_follower.h
+++ b/gypsumhub/gateway/configuration_follower.h
@@ -3,6 +3,7 @@
 #include "gypsumhub/gateway/store_access.h"
 
 #include <functional>
+#include <optional>
 
 namespace gypsumhub {
 
@@ -14,14 +15,15 @@
 
     auto start() -> void;
     auto takeHello(const node_hello&) -> void;
-    /// The configuration in force as it was written.
-    auto list() const -> key_listing;
+    /// The configuration in force as it was written; nothing before there is one.
+    auto list() const -> std::optional<key_listing>;
 
 private:
     auto follow() -> task<>;
     auto read() -> task<uint64_t>;
     auto catchUp(std::string from) -> task<>;
     auto take(const store_entry&) -> void;
+    auto takeAll(const key_listing&) -> void;
 
     store_access& m_access;
     std::function<void()> m_onProgress;
--- a/gypsumhub/gateway/gateway_context.cpp
+++ b/gypsumhub/gateway/gateway_context.cpp
@@ -39,7 +39,7 @@
     , log({ settings.logDescriptor, settings.logLinesPerSecond })
     , board(
           settings.dataCentre, [this](std::string_view name) { return regionIn(settings, name); }, settings.selection, random())
-    , roster({ settings.name, settings.dataCentre, settings.callerAddress, settings.peerAddress })
+    , roster({ settings.name, settings.dataCentre, settings.callerAddress, settings.peerAddress, {}, settings.size })
 {
 }
 
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -36,6 +36,7 @@
     auto lane(std::string_view service) -> service_lane&;
     auto turnsOf(const route&) -> weighted_turns&;
     auto regionOf(std::string_view dataCentre) const -> std::string;
+    auto groupGoal() const -> group_goal { return { settings.directoryNodes, settings.directorySize }; }
     /// Takes in an outcome that this node saw and tells the other nodes when it is news to them. A fault that may lie in
     /// the path to the target is not told: other nodes have other paths.
     auto noteOutcome(target_state&, outcome_kind, time_point sentAt, bool mayBePath) -> void;
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -184,7 +184,7 @@
         return { 404 };
     auto& settings = m_context.settings;
     m_context.roster.setOwn(isReady(), m_context.isStopping);
-    auto nodes = m_context.roster.group(question->host, question->dataCentre, settings.directoryNodes, bootClockNow());
+    auto nodes = m_context.roster.group(question->host, question->dataCentre, m_context.groupGoal(), bootClockNow());
     if (nodes.empty())
         return { 503 };
     return { 200, "application/json", formatDirectoryAnswer(nodes, settings.directoryLifetime) };
@@ -235,6 +235,7 @@
             // Addresses stay as they are for as long as the process runs.
             m_context.settings.directoryLifetime = read.directoryLifetime;
             m_context.settings.directoryNodes = read.directoryNodes;
+            m_context.settings.directorySize = read.directorySize;
             m_context.settings.stopLimit = read.stopLimit;
             m_context.log.write(log_class::Notable, "reloaded", { { "file", m_settingsFile } });
             return {};
--- a/gypsumhub/gateway/node_follower.cpp
+++ b/gypsumhub/gateway/node_follower.cpp
@@ -17,6 +17,11 @@
 
     // Nodes come and go together; one call takes them all.
     constexpr auto nodePause = milliseconds(2000);
+    // While all start, each learns early who else is there.
+    constexpr auto startNodePause = milliseconds(400);
+    constexpr auto startTime = seconds(4);
+    // Nodes that register before they list see all that came before them.
+    constexpr auto registrationLimit = milliseconds(500);
     // A node that dies is missed by the nodes of other data centres for so long; its own data centre hears at once.
     constexpr auto leaseLength = seconds(8);
     constexpr auto leaseRenewal = milliseconds(2600);
@@ -26,7 +31,8 @@
     auto formatNode(const node_registration& node) -> std::string
     {
         return json::serialize(json::object { { "data_centre", node.dataCentre }, { "caller_address", formatEndpoint(node.callerAddress) },
-            { "peer_address", formatEndpoint(node.peerAddress) }, { "store_delay", std::to_string(node.storeDelay.milliseconds()) + "ms" } });
+            { "peer_address", formatEndpoint(node.peerAddress) }, { "store_delay", std::to_string(node.storeDelay.milliseconds()) + "ms" },
+            { "cores", node.size.cores }, { "link", node.size.linkMegabits } });
     }
 
     auto parseNode(const store_entry& entry) -> std::optional<node_registration>
@@ -40,11 +46,16 @@
             auto* field = object->if_contains(name);
             return field && field->is_string() ? std::string(field->as_string()) : std::string {};
         };
+        auto numberOf = [&](std::string_view name) {
+            auto* field = object->if_contains(name);
+            return field && field->is_number() ? field->to_number<double>() : 0.0;
+        };
         auto caller = parseEndpoint(textOf("caller_address"));
         auto peer = parseEndpoint(textOf("peer_address"));
         if (!caller || !peer)
             return std::nullopt;
-        return node_registration { entry.key.substr(node_follower::prefix.size()), textOf("data_centre"), *caller, *peer, parseDuration(textOf("store_delay")).value_or(duration {}) };
+        return node_registration { entry.key.substr(node_follower::prefix.size()), textOf("data_centre"), *caller, *peer, parseDuration(textOf("store_delay")).value_or(duration {}),
+            { numberOf("cores"), numberOf("link") } };
     }
 
 } // namespace
@@ -88,12 +99,18 @@
     auto listed = co_await m_access.store().list(std::string(prefix), bootClockNow() + storeCallLimit);
     if (!m_access.noteStore("nodes", listed.status))
         co_return 0;
+    if (m_entries.empty())
+        m_access.context().roster.noteStart(bootClockNow());
     takeAll(listed.value);
+    m_access.noteNodes();
     co_return listed.value.revision;
 }
 
 auto node_follower::follow() -> task<>
 {
+    auto startedAt = bootClockNow();
+    while (!m_hasRegistered && bootClockNow() < startedAt + registrationLimit)
+        co_await m_access.pause(milliseconds(10));
     for (auto revision = uint64_t { 0 };;) {
         if (!m_entries.empty() && !m_access.context().roster.isReader(bootClockNow())) {
             revision = 0;
@@ -102,7 +119,10 @@
         }
         if (revision == 0) {
             revision = co_await read();
-            co_await m_access.pause(nodePause);
+            if (revision == 0)
+                co_await m_access.pauseAfterFailure();
+            else
+                co_await m_access.pause(bootClockNow() < startedAt + startTime ? startNodePause : nodePause);
             continue;
         }
         auto followed = co_await m_access.store().follow(std::string(prefix), revision, bootClockNow() + longestWatch);
@@ -116,7 +136,7 @@
             }
         } else
             revision = 0;
-        co_await m_access.pause(nodePause);
+        co_await m_access.pause(bootClockNow() < startedAt + startTime ? startNodePause : nodePause);
     }
 }
 
@@ -127,7 +147,7 @@
     if (listed.status == keyspace_status::Ok)
         takeAll(listed.value);
     else
-        co_await m_access.pause(storeRetryPause);
+        co_await m_access.pauseAfterFailure();
     m_isCatchingUp = false;
 }
 
@@ -166,11 +186,12 @@
             m_access.context().roster.setStoreDelay(m_access.store().leastDelay());
             auto status = co_await m_access.store().put(std::move(key), formatNode(m_access.context().roster.own()), m_lease, bootClockNow() + storeCallLimit);
             isRegistered = m_access.noteStore("registration", status);
+            m_hasRegistered |= isRegistered;
             if (status == keyspace_status::LeaseGone)
                 m_lease = 0;
         }
         if (!isRegistered) {
-            co_await m_access.pause(storeRetryPause);
+            co_await m_access.pauseAfterFailure();
             continue;
         }
         co_await m_access.pause(leaseRenewal);
--- a/gypsumhub/gateway/node_follower.h
+++ b/gypsumhub/gateway/node_follower.h
@@ -38,6 +38,7 @@
     /// Hellos in a row whose digest differs from this node's.
     uint32_t m_differences { 0 };
     bool m_isCatchingUp { false };
+    bool m_hasRegistered { false };
     /// As they were written, by key.
     std::map<std::string, store_entry, std::less<>> m_entries;
 };
--- a/gypsumhub/gateway/request_run.cpp
+++ b/gypsumhub/gateway/request_run.cpp
@@ -145,9 +145,9 @@
     auto& settings = m_context.settings;
     // Callers of a host go to a few nodes of each data centre; these share the reserve. Half of it is kept for the nodes
     // that take their place when they fail.
-    auto group = m_context.roster.group(m_route->host, settings.dataCentre, settings.directoryNodes, now);
+    auto group = m_context.roster.group(m_route->host, settings.dataCentre, m_context.groupGoal(), now);
     auto isMember = std::ranges::find(group, settings.callerAddress) != group.end();
-    auto members = static_cast<double>(settings.directoryNodes * settings.dataCentres.size());
+    auto members = static_cast<double>(std::max<size_t>(settings.directoryNodes, group.size()) * settings.dataCentres.size());
     if (m_lane->allowance().take(now, isMember ? 0.5 / members : 0)) {
         ++m_context.counters.repeats;
         return true;
--- a/gypsumhub/gateway/store_access.cpp
+++ b/gypsumhub/gateway/store_access.cpp
@@ -1,6 +1,7 @@
 #include "gypsumhub/gateway/store_access.h"
 
 #include "gypsumhub/core/clock.h"
+#include "gypsumhub/decision/selection/store_retry.h"
 #include "gypsumhub/platform/kv_client.h"
 
 namespace gypsumhub {
@@ -8,6 +9,11 @@
 namespace {
 
     constexpr auto peerCallLimit = milliseconds(400);
+    // Registering and listing the nodes takes four round trips to a store in another region.
+    constexpr auto firstNodesLimit = milliseconds(600);
+    // A chain of three nodes that read one after another; a node that starts alone waits for none of it.
+    constexpr auto startListLimit = milliseconds(900);
+    constexpr auto startPause = milliseconds(30);
 
 } // namespace
 
@@ -33,11 +39,44 @@
     }
     if (isAnswered == m_isLost) {
         m_isLost = !isAnswered;
+        m_lostSince = bootClockNow();
         m_context.log.write(log_class::Notable, m_isLost ? "store_lost" : "store_regained", { { "call", call }, { "status", static_cast<int>(status) } });
     }
     return status == keyspace_status::Ok;
 }
 
+auto store_access::pauseAfterFailure() -> task<>
+{
+    co_await pause(retryPause(m_isLost ? bootClockNow() - m_lostSince : duration {}));
+}
+
+auto store_access::listAtStart(std::string prefix) -> task<std::optional<key_listing>>
+{
+    for (auto limit = bootClockNow() + firstNodesLimit; !m_hasNodes && bootClockNow() < limit;)
+        co_await pause(startPause);
+    auto limit = bootClockNow() + startListLimit;
+    auto sources = m_context.roster.startSources();
+    for (auto source = sources.begin(); source != sources.end() && bootClockNow() < limit;) {
+        auto* peer = m_context.roster.find(*source);
+        if (!peer) {
+            ++source;
+            continue;
+        }
+        auto client = kv_client(m_context.io, peer->peerAddress);
+        auto listed = co_await client.list(prefix, bootClockNow() + peerCallLimit);
+        if (listed.status == keyspace_status::Ok) {
+            m_context.log.write(log_class::Notable, "listed_at_peer", { { "node", *source }, { "prefix", prefix }, { "entries", listed.value.entries.size() } });
+            co_return std::move(listed.value);
+        }
+        // A node that has started as well answers that it does not know yet; one that is gone does not answer.
+        if (listed.status == keyspace_status::LeaseGone)
+            co_await pause(startPause);
+        else
+            ++source;
+    }
+    co_return std::nullopt;
+}
+
 auto store_access::listAt(std::string node, std::string prefix) -> task<keyspace_result<key_listing>>
 {
     if (auto* peer = m_context.roster.find(node)) {
--- a/gypsumhub/gateway/store_access.h
+++ b/gypsumhub/gateway/store_access.h
@@ -3,6 +3,7 @@
 #include "gypsumhub/gateway/gateway_context.h"
 #include "gypsumhub/store/keyspace.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,12 @@
     auto noteStore(std::string_view call, keyspace_status) -> bool;
     /// Waits for about this long, spread so that nodes that failed together do not come back together.
     auto pause(duration) -> task<>;
+    /// Waits after a failed call, the longer the store has been lost: refused calls cost it as much as others.
+    auto pauseAfterFailure() -> task<>;
+    /// The registrations of nodes are known for the first time.
+    auto noteNodes() -> void { m_hasNodes = true; }
+    /// At the start: lists a prefix at a node of the data centre that knows it; nothing when the store must be asked.
+    auto listAtStart(std::string prefix) -> task<std::optional<key_listing>>;
     /// Lists a prefix at another node, or at the store when that node does not answer.
     auto listAt(std::string node, std::string prefix) -> task<keyspace_result<key_listing>>;
 
@@ -28,6 +35,8 @@
     gateway_context& m_context;
     keyspace& m_store;
     bool m_isLost { false };
+    time_point m_lostSince {};
+    bool m_hasNodes { false };
 };
 
 /// The messages of all faults, for a log line.
@@ -37,8 +46,6 @@
 constexpr auto storeCallLimit = milliseconds(1500);
 /// A waiting watch costs a call whenever it ends; the store allows 30 s.
 constexpr auto longestWatch = seconds(29);
-/// After a failed call.
-constexpr auto storeRetryPause = milliseconds(150);
 /// While another node reads for this one.
 constexpr auto readerCheckPause = milliseconds(200);
 
--- a/gypsumhub/gateway/store_follower.cpp
+++ b/gypsumhub/gateway/store_follower.cpp
@@ -36,6 +36,8 @@
         return m_configuration.list();
     if (prefix == node_follower::prefix)
         return m_nodes.list();
+    if (prefix == wire_names::targetPrefix)
+        return m_targets.list();
     return std::nullopt;
 }
 
--- a/gypsumhub/gateway/store_follower.h
+++ b/gypsumhub/gateway/store_follower.h
@@ -21,7 +21,7 @@
     /// Takes in what another node says that it knows.
     auto takeHello(const node_hello&) -> void;
     auto tick() -> void { m_targets.tick(); }
-    /// The entries under a prefix as this node knows them, for other nodes; nothing for prefixes that it does not keep.
+    /// The entries under a prefix as this node knows them, for other nodes; nothing for what it does not know.
     auto listFor(std::string_view prefix) const -> std::optional<key_listing>;
     auto nodesDigest() const -> uint64_t { return m_nodes.digest(); }
     auto hasTargets() const -> bool { return m_targets.hasTargets(); }
--- a/gypsumhub/gateway/target_follower.cpp
+++ b/gypsumhub/gateway/target_follower.cpp
@@ -40,8 +40,22 @@
         m_mustList = true;
 }
 
+auto target_follower::list() const -> std::optional<key_listing>
+{
+    if (!m_hasTargets)
+        return std::nullopt;
+    auto& view = m_access.context().view;
+    auto listing = key_listing { {}, view.revision() };
+    for (auto& [id, target] : view.entries())
+        listing.entries.push_back(writeRegistrationDocument(target, bootClockNow()));
+    return listing;
+}
+
 auto target_follower::follow() -> task<>
 {
+    auto known = co_await m_access.listAtStart(std::string(wire_names::targetPrefix));
+    if (known)
+        takeListing(*known);
     for (;;) {
         auto now = bootClockNow();
         auto isReader = m_access.context().roster.isReader(now);
@@ -56,30 +70,47 @@
             isRead = co_await readAll();
         else
             isRead = co_await readChanges();
-        co_await m_access.pause(isRead ? targetPause : storeRetryPause);
+        if (isRead)
+            co_await m_access.pause(targetPause);
+        else
+            co_await m_access.pauseAfterFailure();
     }
 }
 
 auto target_follower::readAll() -> task<bool>
 {
-    auto listed = co_await m_access.store().list(std::string(wire_names::targetPrefix), bootClockNow() + storeCallLimit);
+    auto prefix = std::string(wire_names::targetPrefix);
+    auto* reader = m_access.context().roster.reader(bootClockNow());
+    if (reader) {
+        auto told = co_await m_access.listAt(reader->name, std::move(prefix));
+        if (told.status == keyspace_status::Ok)
+            takeListing(told.value);
+        co_return told.status == keyspace_status::Ok;
+    }
+    auto listed = co_await m_access.store().list(std::move(prefix), bootClockNow() + storeCallLimit);
     if (!m_access.noteStore("registrations", listed.status))
         co_return false;
+    m_revision = listed.value.revision;
+    m_access.context().viewConfirmedAt = bootClockNow();
+    takeListing(listed.value);
+    co_return true;
+}
+
+auto target_follower::takeListing(const key_listing& listing) -> void
+{
     auto targets = std::vector<target_registration> {};
-    for (auto& entry : listed.value.entries) {
+    for (auto& entry : listing.entries) {
         if (auto read = readEntry(entry))
             targets.push_back(std::move(*read));
     }
-    m_revision = listed.value.revision;
-    m_access.context().viewConfirmedAt = bootClockNow();
     m_mustList = false;
     m_differences = 0;
-    auto changes = m_access.context().view.replace(targets, listed.value.revision, bootClockNow());
+    auto changes = m_access.context().view.replace(targets, listing.revision, bootClockNow());
     apply(changes);
-    m_listeners.spread(changes);
+    if (isRelay(bootClockNow()))
+        m_listeners.spread(changes);
     m_hasTargets = true;
     m_listeners.progress();
-    co_return true;
 }
 
 auto target_follower::readChanges() -> task<bool>
@@ -118,7 +149,10 @@
             m_access.context().log.write(log_class::Notable, "registration_refused", { { "key", entry.key }, { "revision", entry.modRevision }, { "reason", joinMessages(faults) } });
             return std::nullopt;
         },
-        [&]() -> std::optional<target_registration> { return std::nullopt; });
+        [&]() -> std::optional<target_registration> {
+            m_access.context().log.write(log_class::Notable, "registration_refused", { { "key", entry.key }, { "revision", entry.modRevision } });
+            return std::nullopt;
+        });
 }
 
 auto target_follower::apply(std::span<const view_change> changes) -> void
@@ -149,18 +183,24 @@
             changes.push_back(std::move(*taken));
     }
     apply(changes);
-    // The first node of a distant data centre passes on what it is fed.
-    if (m_access.context().roster.isFedFromAfar(bootClockNow()) || m_access.context().roster.isReader(bootClockNow()))
+    if (isRelay(bootClockNow()))
         m_listeners.spread(changes);
 }
 
+auto target_follower::isRelay(time_point now) const -> bool
+{
+    // The first node of a distant data centre passes on what it is fed.
+    auto& roster = m_access.context().roster;
+    return roster.isFedFromAfar(now) || roster.isReader(now);
+}
+
 auto target_follower::tick() -> void
 {
     auto changes = m_access.context().view.takeRemovals(bootClockNow());
     if (changes.empty())
         return;
     apply(changes);
-    if (m_access.context().roster.isReader(bootClockNow()))
+    if (isRelay(bootClockNow()))
         m_listeners.spread(changes);
 }
 
--- a/gypsumhub/gateway/target_follower.h
+++ b/gypsumhub/gateway/target_follower.h
@@ -28,11 +28,15 @@
     /// Carries out removals whose time has come.
     auto tick() -> void;
     /// Whether the registrations were read at least once.
+    /// The registrations as this node knows them; nothing before it knows them.
+    auto list() const -> std::optional<key_listing>;
     auto hasTargets() const -> bool { return m_hasTargets; }
 
 private:
     auto follow() -> task<>;
     auto readAll() -> task<bool>;
+    auto takeListing(const key_listing&) -> void;
+    auto isRelay(time_point now) const -> bool;
     auto readChanges() -> task<bool>;
     auto readEntry(const store_entry&) -> std::optional<target_registration>;
     auto apply(std::span<const view_change>) -> void;
--- a/gypsumhub/platform/registration_document.cpp
+++ b/gypsumhub/platform/registration_document.cpp
@@ -4,6 +4,7 @@
 #include "gypsumhub/platform/document_fields.h"
 #include "gypsumhub/platform/wire_names.h"
 
+#include <boost/json/serialize.hpp>
 #include <limits>
 
 namespace gypsumhub {
@@ -30,6 +31,17 @@
     return std::string(key.substr(std::min(key.size(), wire_names::targetPrefix.size())));
 }
 
+auto writeRegistrationDocument(const target_registration& target, time_point now) -> store_entry
+{
+    auto warmUp = std::max<int64_t>((target.warmAt - now).milliseconds(), 0);
+    auto document = json::object { { "address", formatEndpoint(target.address) },
+        { "info", json::object { { "service", target.service }, { "data_centre", target.dataCentre }, { "slots", target.slots } } },
+        { "status", json::object { { "state", target.isDraining ? "draining" : "ready" }, { "warm_up_left", std::to_string(warmUp) + "ms" } } } };
+    if (target.incarnation != 0)
+        document["born"] = target.incarnation;
+    return { std::string(wire_names::targetPrefix) + target.id, json::serialize(document), target.revision };
+}
+
 auto readRegistrationDocument(const store_entry& entry, time_point now) -> leaf::result<target_registration>
 {
     BOOST_LEAF_AUTO(document, parseDocument(entry.value, entry.key));
--- a/gypsumhub/platform/registration_document.h
+++ b/gypsumhub/platform/registration_document.h
@@ -10,6 +10,9 @@
 /// Fails with `ConfigurationInvalid` when the entry was not written by a target.
 auto readRegistrationDocument(const store_entry&, time_point now) -> leaf::result<target_registration>;
 
+/// Writes a registration so that another node reads it like the target's own entry.
+auto writeRegistrationDocument(const target_registration&, time_point now) -> store_entry;
+
 /// The target's id in its key in the store.
 auto targetIdOf(std::string_view key) -> std::string;
 
--- a/unit_tests/platform/registration_document_test.cpp
+++ b/unit_tests/platform/registration_document_test.cpp
@@ -32,6 +32,19 @@
     CHECK(entry.revision == 7);
 }
 
+TEST_CASE("a registration that a node passes on reads like the target's own")
+{
+    auto now = time_point {} + seconds(100), later = now + milliseconds(700);
+    auto entry = readRegistrationDocument({ "servers/i-1", complete, 7 }, now).value();
+    auto told = writeRegistrationDocument(entry, later);
+    CHECK(told.key == "servers/i-1");
+    auto again = readRegistrationDocument(told, later).value();
+    CHECK(again.routesLike(entry));
+    CHECK(again.id == entry.id);
+    CHECK(again.revision == entry.revision);
+    CHECK((again.warmAt == entry.warmAt));
+}
+
 TEST_CASE("an entry of another writer is refused and names the key")
 {
     auto text = std::string(complete);
