A node that reads the registrations keeps its role while nothing changes

Ruled out: lost hellos (no node fell silent), the start tree (198 of 206 listings at peers). The pace and the limits are now bound by a static assertion, which the old pace fails.

--- a/gypsumhub/decision/selection/node_roster.cpp
+++ b/gypsumhub/decision/selection/node_roster.cpp
@@ -1,6 +1,7 @@
 #include "gypsumhub/decision/selection/node_roster.h"
 
 #include "gypsumhub/core/hash.h"
+#include "gypsumhub/decision/selection/reading_pace.h"
 
 #include <algorithm>
 #include <tuple>
@@ -12,9 +13,10 @@
     // Three hellos in a row were lost or the node is gone.
     constexpr auto silenceLimit = milliseconds(1300);
     // A reader whose last contact with the store is older hands over to the next one.
-    constexpr auto readerAgeLimit = milliseconds(1200);
+    constexpr auto readerAgeLimit = milliseconds(1300);
+    static_assert(reading_pace::oldestView < readerAgeLimit, "a reader would lose its role in any quiet second");
     // Where registrations come through a feeder they are one interval between hellos older.
-    constexpr auto fedReaderAgeLimit = milliseconds(1650);
+    constexpr auto fedReaderAgeLimit = milliseconds(1800);
     // A store that another node reaches so much faster is in another region.
     constexpr auto distantStore = milliseconds(10);
     // The first node of a data centre learns of the others and says its first hellos to them in this time.
--- a/gypsumhub/gateway/target_follower.cpp
+++ b/gypsumhub/gateway/target_follower.cpp
@@ -1,6 +1,7 @@
 #include "gypsumhub/gateway/target_follower.h"
 
 #include "gypsumhub/core/clock.h"
+#include "gypsumhub/decision/selection/reading_pace.h"
 #include "gypsumhub/platform/registration_document.h"
 #include "gypsumhub/platform/wire_names.h"
 
@@ -11,9 +12,6 @@
 
 namespace {
 
-    constexpr auto targetWait = milliseconds(1000);
-    // Targets report about every second and a half, so that a watch ends at once; this bounds the calls.
-    constexpr auto targetPause = milliseconds(700);
     // One differing view may be a datagram under way; two in a row are a lost one.
     constexpr auto differencesBeforeReading = 2U;
 
@@ -71,7 +69,7 @@
         else
             isRead = co_await readChanges();
         if (isRead)
-            co_await m_access.pause(targetPause);
+            co_await m_access.pause(reading_pace::pause);
         else
             co_await m_access.pauseAfterFailure();
     }
@@ -115,7 +113,7 @@
 
 auto target_follower::readChanges() -> task<bool>
 {
-    auto followed = co_await m_access.store().follow(std::string(wire_names::targetPrefix), m_revision, bootClockNow() + targetWait);
+    auto followed = co_await m_access.store().follow(std::string(wire_names::targetPrefix), m_revision, bootClockNow() + reading_pace::wait);
     if (!m_access.noteStore("registrations", followed.status)) {
         m_revision = 0;
         co_return false;
--- a/unit_tests/decision/selection/node_roster_test.cpp
+++ b/unit_tests/decision/selection/node_roster_test.cpp
@@ -1,5 +1,7 @@
 #include "gypsumhub/decision/selection/node_roster.h"
 
+#include "gypsumhub/decision/selection/reading_pace.h"
+
 #include <doctest/doctest.h>
 #include <map>
 
@@ -101,6 +103,18 @@
     CHECK(third.watchesConfiguration(at(400)));
 }
 
+TEST_CASE("a reader keeps its role while no target changes, so that its watches end late")
+{
+    auto second = makeRoster("n2"), third = makeRoster("n3");
+    auto quiet = makeHello("n1");
+    quiet.viewAge = reading_pace::oldestView;
+    for (auto* roster : { &second, &third })
+        roster->noteHello(quiet, at(400));
+    CHECK_FALSE(second.isReader(at(800)));
+    CHECK_FALSE(third.isReader(at(800)));
+    CHECK_FALSE(third.watchesConfiguration(at(800)));
+}
+
 TEST_CASE("a data centre that starts at once: one node reads the store, the others ask each other along a tree")
 {
     constexpr auto nodes = 25;
