--- a/fakes/fake_gateway_target.cpp
+++ b/fakes/fake_gateway_target.cpp
@@ -1,8 +1,12 @@
 #include "fakes/fake_gateway_target.h"
 
+#include "gypsumhub/core/clock.h"
+
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <sys/socket.h>
 
 namespace gypsumhub {
@@ -60,16 +64,25 @@
 auto fake_gateway_target::runs(const std::string& requestId) -> int
 {
     auto lock = std::lock_guard(m_mutex);
-    return m_runs[requestId];
+    return static_cast<int>(std::ranges::count_if(m_arrivals, [&](auto& arrival) { return arrival.isRun && arrival.requestId == requestId; }));
 }
 
 auto fake_gateway_target::totalRuns() -> int
 {
     auto lock = std::lock_guard(m_mutex);
-    auto total = 0;
-    for (auto& [id, count] : m_runs)
-        total += count;
-    return total;
+    return static_cast<int>(std::ranges::count(m_arrivals, true, &seen_arrival::isRun));
+}
+
+auto fake_gateway_target::arrivals() -> std::vector<seen_arrival>
+{
+    auto lock = std::lock_guard(m_mutex);
+    return m_arrivals;
+}
+
+auto fake_gateway_target::noteArrival(const std::string& requestId, bool isRun) -> void
+{
+    auto lock = std::lock_guard(m_mutex);
+    m_arrivals.push_back({ requestId, bootClockNow(), isRun });
 }
 
 auto fake_gateway_target::serve(asio::ip::tcp::socket socket) -> void
@@ -89,13 +102,12 @@
             continue;
         }
         if (manner == target_manner::Sheds) {
+            noteArrival(id, false);
             send("HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             continue;
         }
-        {
-            auto lock = std::lock_guard(m_mutex);
-            ++m_runs[id];
-        }
+        noteArrival(id, true);
+        std::this_thread::sleep_for(std::chrono::nanoseconds(m_work.load()));
         auto answer = makeAnswer(manner == target_manner::Fails ? 500 : 200, id, m_id);
         if (manner == target_manner::Strays)
             send(makeAnswer(200, "another", "another"));
--- a/fakes/fake_gateway_target.h
+++ b/fakes/fake_gateway_target.h
@@ -1,9 +1,10 @@
 #pragma once
 
+#include "gypsumhub/core/time_point.h"
+
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <map>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -26,6 +27,13 @@
     Cuts,
 };
 
+/// A request as the target saw it.
+struct seen_arrival {
+    std::string requestId;
+    time_point at;
+    bool isRun { false };
+};
+
 /// Stand-in of a target of the users' platform. Each connection has a thread.
 class fake_gateway_target {
 public:
@@ -33,12 +41,17 @@
     ~fake_gateway_target();
 
     auto port() const -> uint16_t;
+    auto id() const -> const std::string& { return m_id; }
     auto setManner(target_manner manner) -> void { m_manner = manner; }
+    /// How long an answer takes.
+    auto setWork(duration work) -> void { m_work = work.ns; }
+    auto arrivals() -> std::vector<seen_arrival>;
     /// How often the target ran a request.
     auto runs(const std::string& requestId) -> int;
     auto totalRuns() -> int;
 
 private:
+    auto noteArrival(const std::string& requestId, bool isRun) -> void;
     auto serve(boost::asio::ip::tcp::socket) -> void;
 
     std::string m_id;
@@ -46,7 +59,8 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::atomic<target_manner> m_manner { target_manner::Sound };
     std::mutex m_mutex;
-    std::map<std::string, int> m_runs;
+    std::atomic<int64_t> m_work { 0 };
+    std::vector<seen_arrival> m_arrivals;
     std::vector<std::thread> m_connections;
     std::vector<int> m_sockets;
     std::thread m_accepting;
--- a/fakes/fake_keyspace_server.cpp
+++ b/fakes/fake_keyspace_server.cpp
@@ -2,6 +2,7 @@
 
 #include "gypsumhub/store/base64.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace gypsumhub {
@@ -36,17 +37,40 @@
 auto fake_keyspace_server::put(const std::string& key, std::string value) -> void
 {
     auto lock = std::lock_guard(m_mutex);
-    m_entries[key] = { std::move(value), ++m_revision };
+    putEntry(key, std::move(value), 0);
+}
+
+auto fake_keyspace_server::putEntry(const std::string& key, std::string value, uint64_t lease) -> void
+{
+    m_entries[key] = { std::move(value), ++m_revision, lease };
     m_changes.push_back({ key, m_entries[key], false });
 }
 
 auto fake_keyspace_server::remove(const std::string& key) -> void
 {
     auto lock = std::lock_guard(m_mutex);
+    removeEntry(key);
+}
+
+auto fake_keyspace_server::removeEntry(const std::string& key) -> void
+{
     m_entries.erase(key);
     m_changes.push_back({ key, { {}, ++m_revision }, true });
 }
 
+auto fake_keyspace_server::endLeases() -> void
+{
+    auto lock = std::lock_guard(m_mutex);
+    m_oldestLease = m_newestLease + 1;
+    auto ended = std::vector<std::string> {};
+    for (auto& [key, held] : m_entries) {
+        if (held.lease != 0)
+            ended.push_back(key);
+    }
+    for (auto& key : ended)
+        removeEntry(key);
+}
+
 auto fake_keyspace_server::setAway(bool away) -> void
 {
     auto lock = std::lock_guard(m_mutex);
@@ -66,7 +90,7 @@
 
 auto fake_keyspace_server::answer(const fake_http_target& target, const std::string& body) -> fake_http_answer
 {
-    auto lock = std::unique_lock(m_mutex);
+    auto lock = std::lock_guard(m_mutex);
     auto made = fake_http_answer {};
     if (m_isAway) {
         made.closes = true;
@@ -77,13 +101,14 @@
     else if (target.path == "/gypsumhub/kv-watch")
         made = answerWatch(target);
     else if (target.path == "/gypsumhub/kv-lease")
-        made.body = R"({"lease":1,"lease_ttl":"5s"})";
-    else if (target.path == "/gypsumhub/kv-txn") {
-        lock.unlock();
-        write(body);
-        made.body = "{}";
-    } else
+        made.body = R"({"lease":)" + std::to_string(++m_newestLease) + R"(,"lease_ttl":"5s"})";
+    else {
         made.body = "{}";
+        constexpr auto renewal = std::string_view { "/gypsumhub/kv-keep/" };
+        auto isEnded = target.path.starts_with(renewal) && std::stoull(target.path.substr(renewal.size())) < m_oldestLease;
+        if (isEnded || (target.path == "/gypsumhub/kv-txn" && !write(body)))
+            made.status = 404;
+    }
     return made;
 }
 
@@ -115,11 +140,16 @@
     return made;
 }
 
-auto fake_keyspace_server::write(const std::string& body) -> void
+auto fake_keyspace_server::write(const std::string& body) -> bool
 {
     auto document = json::parse(body);
-    for (auto& write : document.at("puts").as_array())
-        put(json::value_to<std::string>(write.at("key")), fromBase64(json::value_to<std::string>(write.at("value"))).value_or(""));
+    auto& puts = document.at("puts").as_array();
+    auto leaseOf = [](const json::value& put) { return put.as_object().contains("lease") ? put.at("lease").to_number<uint64_t>() : 0; };
+    if (std::ranges::any_of(puts, [&](auto& put) { return leaseOf(put) != 0 && leaseOf(put) < m_oldestLease; }))
+        return false;
+    for (auto& put : puts)
+        putEntry(json::value_to<std::string>(put.at("key")), fromBase64(json::value_to<std::string>(put.at("value"))).value_or(""), leaseOf(put));
+    return true;
 }
 
 } // namespace gypsumhub
--- a/fakes/fake_keyspace_server.h
+++ b/fakes/fake_keyspace_server.h
@@ -11,7 +11,7 @@
 
 namespace gypsumhub {
 
-/// Stand-in of the users' platform's store: entries, ranges, watches and leases that never end by themselves. It can be taken away.
+/// Stand-in of the users' platform's store: entries, ranges, watches and leases that end only when told. It can be taken away.
 class fake_keyspace_server {
 public:
     /// Listens on a free port of `address`.
@@ -23,12 +23,15 @@
     auto remove(const std::string& key) -> void;
     /// While it is away, connections are closed without an answer.
     auto setAway(bool) -> void;
+    /// Ends all leases and removes what was written under them.
+    auto endLeases() -> void;
     auto keys(std::string_view prefix) -> std::vector<std::string>;
 
 private:
     struct entry {
         std::string value;
         uint64_t revision { 0 };
+        uint64_t lease { 0 };
     };
     struct change {
         std::string key;
@@ -39,12 +42,17 @@
     auto answer(const fake_http_target&, const std::string& body) -> fake_http_answer;
     auto answerRange(const fake_http_target&) -> std::string;
     auto answerWatch(const fake_http_target&) -> fake_http_answer;
-    auto write(const std::string& body) -> void;
+    auto write(const std::string& body) -> bool;
+    auto putEntry(const std::string& key, std::string value, uint64_t lease) -> void;
+    auto removeEntry(const std::string& key) -> void;
 
     std::mutex m_mutex;
     std::map<std::string, entry, std::less<>> m_entries;
     std::vector<change> m_changes;
     uint64_t m_revision { 1 };
+    uint64_t m_newestLease { 0 };
+    /// Leases before this one have ended.
+    uint64_t m_oldestLease { 1 };
     bool m_isAway { false };
     boost::asio::io_context m_context { 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
