gypsumhub trace: a failed request's lines from all nodes, in plain words

It orders the lines of an id, says what was decided on evidence of what age, names the cause, and adds what the last node noted about the target and its dependencies. Proved with two real nodes for three kinds of failure; without the deciding line it names none.

--- a/gypsumhub/main/commands.cpp
+++ b/gypsumhub/main/commands.cpp
@@ -8,6 +8,7 @@
 #include "gypsumhub/operator/json_log_sink.h"
 #include "gypsumhub/operator/register/register_request.h"
 #include "gypsumhub/operator/replay/replay.h"
+#include "gypsumhub/operator/request_trace.h"
 
 #include <charconv>
 #include <cstdlib>
@@ -25,6 +26,8 @@
 namespace {
 
     constexpr auto programVersion = "0.1.0";
+    // The logs of the largest fleet, one a node.
+    constexpr auto mostLogs = size_t { 4096 };
 
     auto nodeFromFlag() -> leaf::result<endpoint>
     {
@@ -88,6 +91,13 @@
         return runReplay(arguments.front(), std::cout);
     }
 
+    auto trace(const command_arguments& arguments) -> leaf::result<void>
+    {
+        BOOST_LEAF_AUTO(text, traceRequestInFiles(arguments.front(), std::span(arguments).subspan(1)));
+        std::cout << text;
+        return {};
+    }
+
     auto authorName() -> std::string
     {
         if (!FLAGS_author.empty())
@@ -147,6 +157,7 @@
         { "history", "Lists the latest revisions, newest first.", "[LIMIT] --store=IP:PORT", 0, 1, { "store" }, history },
         { "rollback", "Makes a new revision with the content of an old one.", "NUMBER --store=IP:PORT", 1, 1, storeFlags, rollback },
         { "replay", "Replays a trace through the decision cores and checks its stated outcomes.", "TRACE", 1, 1, {}, replay },
+        { "trace", "Tells what became of a request, from the lines that gateway nodes wrote.", "ID LOG...", 2, mostLogs, {}, trace },
         { "version", "Prints the program's version.", "", 0, 0, {}, version },
     };
 
--- /dev/null
+++ b/gypsumhub/operator/request_trace.cpp
@@ -0,0 +1,204 @@
+#include "gypsumhub/operator/request_trace.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <cmath>
+#include <fstream>
+#include <sstream>
+#include <vector>
+
+namespace gypsumhub {
+
+namespace {
+
+    namespace json = boost::json;
+
+    // What a node noted of a target so long before the end may have decided it; beliefs about targets change within seconds.
+    constexpr auto notedBefore = 10.0;
+    // An answer is noted right after the request has ended.
+    constexpr auto notedAfter = 0.1;
+    constexpr auto mostNotes = size_t { 12 };
+
+    struct log_line {
+        double time { 0 };
+        std::string node;
+        json::object fields;
+    };
+
+    struct reason_row {
+        std::string_view reason;
+        std::string_view meaning;
+    };
+
+    constexpr auto reasonRows = std::to_array<reason_row>({
+        { "answered", "the target's answer was delivered" },
+        { "target_failed", "the target ran it and answered with an error of its own" },
+        { "target_declined", "each target that was asked declined to run it; it did not run" },
+        { "target_unreachable", "no connection to the target could be opened; it did not run" },
+        { "repeats_spent", "a further attempt was not allowed: the fleet's share of repeats is used up" },
+        { "no_room", "no target had room for it in its time; it did not run" },
+        { "no_target", "no usable target of the service is registered; it did not run" },
+        { "no_configuration", "the node had no configuration yet; it did not run" },
+        { "no_route", "no route matches its host and path" },
+        { "stopping", "the node was about to end a planned stop; it did not run" },
+        { "caller_left", "the caller gave up before it was sent; it did not run" },
+        { "answer_lost", "the connection to the target ended without a complete answer; it may have run" },
+        { "target_timeout", "the target did not answer in its time; it may have run" },
+    });
+
+    auto textOf(const json::object& fields, std::string_view name) -> std::string
+    {
+        auto* value = fields.if_contains(name);
+        if (!value)
+            return "unknown";
+        return value->is_string() ? std::string(value->as_string()) : json::serialize(*value);
+    }
+
+    auto percentOf(const json::object& fields, std::string_view name) -> std::string
+    {
+        auto* value = fields.if_contains(name);
+        return value && value->is_number() ? std::to_string(std::lround(value->to_number<double>() * 100)) + " %" : "unknown";
+    }
+
+    auto explainReasons(std::string_view reasons) -> std::string
+    {
+        auto text = std::string {};
+        for (auto rest = reasons; !rest.empty();) {
+            auto comma = std::min(rest.find(','), rest.size());
+            auto row = std::ranges::find(reasonRows, rest.substr(0, comma), &reason_row::reason);
+            text += text.empty() ? "" : "; ";
+            text += row == reasonRows.end() ? rest.substr(0, comma) : row->meaning;
+            rest.remove_prefix(std::min(comma + 1, rest.size()));
+        }
+        return text;
+    }
+
+    auto describePlaced(const json::object& fields) -> std::string
+    {
+        return "sent to target " + textOf(fields, "target") + " (" + textOf(fields, "data_centre") + "), attempt " + textOf(fields, "attempt") + ", after waiting "
+            + textOf(fields, "waited_ms") + " ms. Bad with a probability of " + percentOf(fields, "probability_bad") + ", on evidence " + textOf(fields, "evidence_age_ms")
+            + " ms old; registration revision " + textOf(fields, "target_revision") + ", configuration " + textOf(fields, "routes_version") + "; this node had "
+            + textOf(fields, "in_flight") + " requests there and " + textOf(fields, "waiting") + " waiting";
+    }
+
+    auto describeEnded(const json::object& fields) -> std::string
+    {
+        return "ended with status " + textOf(fields, "status") + " after " + textOf(fields, "took_ms") + " ms, " + textOf(fields, "left_ms") + " ms before its deadline, sent "
+            + textOf(fields, "sent") + " times\n    cause: " + explainReasons(textOf(fields, "reason"));
+    }
+
+    auto describeBelief(const json::object& fields) -> std::string
+    {
+        return "target " + textOf(fields, "target") + (textOf(fields, "event") == "target_set_aside" ? " set aside" : " reinstated") + " after " + textOf(fields, "outcome")
+            + " seen by " + textOf(fields, "seen_by") + ": " + percentOf(fields, "probability_before") + " -> " + percentOf(fields, "probability_after");
+    }
+
+    auto describeOther(const json::object& fields) -> std::string
+    {
+        auto shown = fields;
+        shown.erase("time");
+        shown.erase("event");
+        return textOf(fields, "event") + " " + json::serialize(shown);
+    }
+
+    struct event_row {
+        std::string_view event;
+        std::string (*describe)(const json::object&);
+    };
+
+    constexpr auto eventRows = std::to_array<event_row>({
+        { "request_placed", describePlaced },
+        { "request_ended", describeEnded },
+        { "target_set_aside", describeBelief },
+        { "target_reinstated", describeBelief },
+    });
+
+    auto describe(const log_line& line) -> std::string
+    {
+        auto row = std::ranges::find(eventRows, textOf(line.fields, "event"), &event_row::event);
+        return row == eventRows.end() ? describeOther(line.fields) : row->describe(line.fields);
+    }
+
+    auto readLines(std::span<const log_source> sources) -> std::vector<log_line>
+    {
+        auto lines = std::vector<log_line> {};
+        for (auto& source : sources) {
+            auto stream = std::istringstream(source.text);
+            for (auto text = std::string {}; std::getline(stream, text);) {
+                auto error = boost::system::error_code {};
+                auto value = json::parse(text, error);
+                auto* object = error ? nullptr : value.if_object();
+                auto* time = object ? object->if_contains("time") : nullptr;
+                if (time && time->is_number() && object->contains("event"))
+                    lines.push_back({ time->to_number<double>(), source.name, *object });
+            }
+        }
+        std::ranges::stable_sort(lines, {}, &log_line::time);
+        return lines;
+    }
+
+    /// Whether a line tells something that may have decided a request of this node that was last at `target`.
+    auto isNote(const log_line& line, std::string_view node, std::string_view target) -> bool
+    {
+        constexpr auto ofNode = std::to_array<std::string_view>({ "store_lost", "store_regained", "configuration_taken", "configuration_refused", "started", "stopping", "log_dropped" });
+        auto event = textOf(line.fields, "event");
+        if (event.starts_with("request_"))
+            return false;
+        return line.node == node && (textOf(line.fields, "target") == target || std::ranges::find(ofNode, event) != ofNode.end());
+    }
+
+} // namespace
+
+auto traceRequest(std::string_view id, std::span<const log_source> sources) -> leaf::result<std::string>
+{
+    auto lines = readLines(sources);
+    auto bears = [&](auto& line) { return textOf(line.fields, "id") == id; };
+    auto first = std::ranges::find_if(lines, bears);
+    if (first == lines.end())
+        return failWith({ result_code::UsageError, "no line bears the id \"" + std::string(id) + "\"", {}, 0,
+            "give the logs of all nodes; under load routine lines are dropped, which \"log_dropped\" lines count" });
+    auto start = first->time;
+    auto text = "request " + std::string(id) + "\n";
+    auto append = [&](const log_line& line) {
+        text += "  " + std::to_string(std::lround((line.time - start) * 1000)) + " ms  " + line.node + ": " + describe(line) + "\n";
+    };
+    const log_line* last = nullptr;
+    auto target = std::string {};
+    for (auto& line : lines) {
+        if (!bears(line))
+            continue;
+        append(line);
+        last = &line;
+        target = textOf(line.fields, line.fields.contains("last_target") ? "last_target" : "target");
+    }
+    if (!last->fields.contains("reason"))
+        text += "  its end is not in these logs\n";
+    auto notes = std::vector<const log_line*> {};
+    for (auto& line : lines) {
+        if (line.time >= last->time - notedBefore && line.time <= last->time + notedAfter && isNote(line, last->node, target))
+            notes.push_back(&line);
+    }
+    if (!notes.empty())
+        text += "noted by " + last->node + " about target " + target + " and its dependencies, newest last:\n";
+    for (auto index = notes.size() - std::min(notes.size(), mostNotes); index < notes.size(); ++index)
+        append(*notes[index]);
+    return text;
+}
+
+auto traceRequestInFiles(std::string_view id, std::span<const std::string> paths) -> leaf::result<std::string>
+{
+    auto sources = std::vector<log_source> {};
+    for (auto& path : paths) {
+        auto file = std::ifstream(path);
+        if (!file)
+            return failWith({ result_code::UsageError, "cannot read the log", path, 0, "give files with the lines that nodes wrote" });
+        auto text = std::ostringstream {};
+        text << file.rdbuf();
+        sources.push_back({ path, text.str() });
+    }
+    return traceRequest(id, sources);
+}
+
+} // namespace gypsumhub
--- a/soak/program/gypsumhub_soak.cpp
+++ b/soak/program/gypsumhub_soak.cpp
@@ -20,6 +20,8 @@
 DEFINE_uint32(length, 10, "Seconds in which disturbances begin.");
 DEFINE_string(folder, "", "Where settings and lines of failed runs stay; a new one under the system's temporary folder by default.");
 
+DEFINE_bool(keep, false, "Keep the plan and the nodes' lines of every run.");
+
 using namespace gypsumhub;
 
 namespace {
@@ -89,7 +91,7 @@
     std::printf(" ), %zu arrivals, %zu disturbances, %s\n", run.record().arrivals.size(), run.plan().size(), broken.empty() ? "all promises kept" : "BROKEN");
     for (auto& line : broken)
         std::printf("  %s\n", line.c_str());
-    if (broken.empty())
+    if (broken.empty() && !FLAGS_keep)
         std::filesystem::remove_all(folder);
     else {
         printPlan(run);
--- a/unit_tests/gateway/gateway_path_test.cpp
+++ b/unit_tests/gateway/gateway_path_test.cpp
@@ -1,7 +1,29 @@
+#include "gypsumhub/operator/request_trace.h"
 #include "unit_tests/gateway/gateway_fixture.h"
 
+#include <sstream>
+
 using namespace gypsumhub;
 
+namespace {
+
+auto traceOf(const std::string& id, std::string lines) -> std::string
+{
+    auto sources = std::vector<log_source> { { "nodes", std::move(lines) } };
+    return leaf::try_handle_all([&] { return traceRequest(id, sources); }, [] { return std::string {}; });
+}
+
+auto withoutEnd(const std::string& lines) -> std::string
+{
+    auto kept = std::string {};
+    auto stream = std::istringstream(lines);
+    for (auto line = std::string {}; std::getline(stream, line);)
+        kept += line.find("request_ended") == std::string::npos ? line + "\n" : "";
+    return kept;
+}
+
+} // namespace
+
 TEST_CASE("a gateway serves the whole path: directory, route, target, answer")
 {
     auto fleet = gateway_fixture {};
@@ -113,3 +135,22 @@
     ask(node, http::verb::post, "/unsafe/", "why-failed");
     CHECK(fleet.linesOf("why-failed").find("\"target_failed\"") != std::string::npos);
 }
+
+TEST_CASE("the trace of a failed request names its cause, and names none without the line that decides it")
+{
+    struct failure_kind {
+        target_manner manner;
+        std::string_view cause;
+    };
+    auto fleet = gateway_fixture {};
+    auto count = 0;
+    for (auto& kind : { failure_kind { target_manner::Drops, "the connection to the target ended" }, failure_kind { target_manner::Sheds, "declined to run it" },
+             failure_kind { target_manner::Fails, "an error of its own" } }) {
+        auto id = "trace-" + std::to_string(++count);
+        fleet.setManner(kind.manner);
+        ask(gateway_fixture::callerAddress(0), http::verb::post, "/unsafe/", id);
+        auto lines = fleet.linesOf(id);
+        CHECK(traceOf(id, lines).find(kind.cause) != std::string::npos);
+        CHECK(traceOf(id, withoutEnd(lines)).find("cause") == std::string::npos);
+    }
+}
