--- a/gypsumhub/gateway/log_lines.cpp
+++ b/gypsumhub/gateway/log_lines.cpp
@@ -1,6 +1,7 @@
 #include "gypsumhub/gateway/log_lines.h"
 
 #include "gypsumhub/core/clock.h"
+#include "gypsumhub/core/hash.h"
 
 #include <algorithm>
 #include <boost/json/serialize.hpp>
@@ -15,11 +16,20 @@
     constexpr auto mostPendingBytes = size_t { 256 * 1024 };
     // Routine lines leave this share of the limit to notable ones.
     constexpr auto notableShare = 0.3;
+    // Most requests are placed once and end once.
+    constexpr auto linesOfRequest = 2.0;
+    constexpr auto droppedInterval = seconds(1);
 
 } // namespace
 
+auto logTimeNow() -> double
+{
+    return static_cast<double>(wallClockNow().ns) * 1e-9;
+}
+
 log_lines::log_lines(settings given)
     : m_settings(given)
+    , m_sampler(static_cast<uint32_t>(given.linesPerSecond * (1 - notableShare) / linesOfRequest))
     , m_tokens(given.linesPerSecond)
     , m_refilledAt(bootClockNow())
 {
@@ -41,7 +51,8 @@
 
 auto log_lines::append(std::string_view event, boost::json::object fields) -> void
 {
-    auto line = boost::json::object { { "time", static_cast<double>(wallClockNow().ns) * 1e-9 }, { "event", event } };
+    auto* time = fields.if_contains("time");
+    auto line = boost::json::object { { "time", time ? *time : boost::json::value(logTimeNow()) }, { "event", event } };
     for (auto& field : fields)
         line.insert(field);
     m_pending += boost::json::serialize(line);
@@ -54,15 +65,26 @@
         ++m_dropped;
         return;
     }
-    if (m_dropped > m_droppedTold) {
-        append("log_dropped", { { "lines", m_dropped - m_droppedTold } });
-        m_droppedTold = m_dropped;
-    }
     append(event, std::move(fields));
 }
 
+auto log_lines::samples(std::string_view requestId) -> bool
+{
+    return m_sampler.take(hashName(requestId), bootClockNow());
+}
+
+auto log_lines::tellDropped(time_point now) -> void
+{
+    if (m_dropped == m_droppedTold || now < m_tellDroppedAt)
+        return;
+    append("log_dropped", { { "lines", m_dropped - m_droppedTold }, { "one_request_in", m_sampler.oneIn() } });
+    m_droppedTold = m_dropped;
+    m_tellDroppedAt = now + droppedInterval;
+}
+
 auto log_lines::flush() -> void
 {
+    tellDropped(bootClockNow());
     if (m_pending.empty())
         return;
     auto written = ::write(m_settings.descriptor, m_pending.data(), m_pending.size());
--- a/gypsumhub/gateway/log_lines.h
+++ b/gypsumhub/gateway/log_lines.h
@@ -2,6 +2,8 @@
 
 #include "gypsumhub/core/time_point.h"
 
+#include "gypsumhub/gateway/log_sampler.h"
+
 #include <boost/json/object.hpp>
 #include <string>
 #include <string_view>
@@ -16,6 +18,9 @@
     Notable,
 };
 
+/// The present time as lines give it: Unix seconds.
+auto logTimeNow() -> double;
+
 /// Writes JSON lines to a file descriptor without ever waiting for its reader. Lines beyond the limit, or beyond what the
 /// reader takes, are dropped and counted in a line of their own.
 class log_lines {
@@ -27,12 +32,18 @@
 
     explicit log_lines(settings);
 
+    /// A field `time` stands for the present time.
     auto write(log_class, std::string_view event, boost::json::object fields) -> void;
-    /// Hands over what the reader takes now. Called several times a second.
+    /// Whether the routine lines of a request are written; asked once a request.
+    auto samples(std::string_view requestId) -> bool;
+    /// Counts a line that is left out since its request is not sampled.
+    auto noteUnsampled() -> void { ++m_dropped; }
+    /// Hands over what the reader takes now, and says once a second how many lines were left out. Called several times a second.
     auto flush() -> void;
     auto dropped() const -> uint64_t { return m_dropped; }
 
 private:
+    auto tellDropped(time_point now) -> void;
     auto admits(log_class, time_point now) -> bool;
     auto append(std::string_view event, boost::json::object fields) -> void;
 
@@ -40,6 +51,8 @@
     std::string m_pending;
     uint64_t m_dropped { 0 };
     uint64_t m_droppedTold { 0 };
+    time_point m_tellDroppedAt {};
+    log_sampler m_sampler;
     double m_tokens;
     time_point m_refilledAt;
 };
--- a/gypsumhub/gateway/request_run.cpp
+++ b/gypsumhub/gateway/request_run.cpp
@@ -56,6 +56,7 @@
     , m_arrivedAt(arrivedAt)
     , m_deadline(arrivedAt)
     , m_routes(context.routes)
+    , m_isSampled(context.log.samples(m_id))
 {
 }
 
@@ -327,12 +328,15 @@
 auto request_run::noteSending(const target_state& target, double probabilityBad) -> void
 {
     auto now = bootClockNow();
-    m_context.log.write(log_class::Routine, "request_placed",
-        { { "id", m_id }, { "route", m_route->name }, { "routes_version", m_routes->version() }, { "target", target.registration.id },
-            { "data_centre", target.registration.dataCentre },
-            { "target_revision", target.registration.revision }, { "attempt", m_sent + 1 }, { "waited_ms", (now - m_arrivedAt).milliseconds() },
-            { "probability_bad", probabilityBad }, { "evidence_age_ms", (now - target.belief.lastEvidenceAt()).milliseconds() },
-            { "in_flight", target.inFlight }, { "waiting", m_lane->waiting() } });
+    auto line = boost::json::object { { "time", logTimeNow() }, { "id", m_id }, { "route", m_route->name }, { "routes_version", m_routes->version() }, { "target", target.registration.id },
+        { "data_centre", target.registration.dataCentre },
+        { "target_revision", target.registration.revision }, { "attempt", m_sent + 1 }, { "waited_ms", (now - m_arrivedAt).milliseconds() },
+        { "probability_bad", probabilityBad }, { "evidence_age_ms", (now - target.belief.lastEvidenceAt()).milliseconds() },
+        { "in_flight", target.inFlight }, { "waiting", m_lane->waiting() } };
+    if (m_isSampled)
+        m_context.log.write(log_class::Routine, "request_placed", std::move(line));
+    else
+        m_unsaid.push_back(std::move(line));
 }
 
 auto request_run::noteEnd(const caller_reply& reply) -> void
@@ -352,6 +356,14 @@
         fields["last_target"] = m_tried.back();
     if (m_callerLeft)
         fields["caller_left"] = true;
+    if (isSuccess && !m_isSampled) {
+        for (auto left = m_unsaid.size() + 1; left > 0; --left)
+            m_context.log.noteUnsampled();
+        return;
+    }
+    // A request that failed is told whole.
+    for (auto& line : m_unsaid)
+        m_context.log.write(log_class::Notable, "request_placed", std::move(line));
     m_context.log.write(isSuccess ? log_class::Routine : log_class::Notable, "request_ended", std::move(fields));
 }
 
--- a/gypsumhub/gateway/request_run.h
+++ b/gypsumhub/gateway/request_run.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace gypsumhub {
 
@@ -75,6 +76,10 @@
     std::shared_ptr<placement_wait> m_wait;
     std::shared_ptr<target_link> m_link;
     std::string m_reason;
+    /// Its lines are written also when it goes well.
+    bool m_isSampled;
+    /// Lines on where the request was sent, kept until it is known whether it fails.
+    std::vector<boost::json::object> m_unsaid;
 };
 
 } // namespace gypsumhub
--- a/unit_tests/gateway/log_lines_test.cpp
+++ b/unit_tests/gateway/log_lines_test.cpp
@@ -43,3 +43,21 @@
     log.write(log_class::Notable, "target_set_aside", {});
     CHECK(log.dropped() == before);
 }
+
+TEST_CASE("how many lines were left out is said once a second, however often it happens")
+{
+    auto pipe = pipe_ends {};
+    auto log = log_lines({ pipe.ends[1], 10 });
+    for (auto count = 0; count < 500; ++count) {
+        log.write(log_class::Routine, "request_ended", {});
+        log.flush();
+    }
+    auto text = std::string(64 * 1024, ' ');
+    text.resize(static_cast<size_t>(::read(pipe.ends[0], text.data(), text.size())));
+    auto told = 0;
+    for (auto at = text.find("log_dropped"); at != std::string::npos; at = text.find("log_dropped", at + 1))
+        ++told;
+    // The loop takes milliseconds; on a machine that holds it up for seconds, each second may say it once more.
+    CHECK(told >= 1);
+    CHECK(told <= 20);
+}
