--- a/gypsumhub/operator/request_trace.cpp
+++ b/gypsumhub/operator/request_trace.cpp
@@ -5,6 +5,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <cmath>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <vector>
@@ -196,7 +197,7 @@
             return failWith({ result_code::UsageError, "cannot read the log", path, 0, "give files with the lines that nodes wrote" });
         auto text = std::ostringstream {};
         text << file.rdbuf();
-        sources.push_back({ path, text.str() });
+        sources.push_back({ std::filesystem::path(path).stem(), text.str() });
     }
     return traceRequest(id, sources);
 }
--- a/gypsumhub/operator/request_trace.h
+++ b/gypsumhub/operator/request_trace.h
@@ -19,7 +19,7 @@
 /// Lines that are no JSON objects are passed over. Fails with `UsageError` when no line bears the id.
 auto traceRequest(std::string_view id, std::span<const log_source>) -> leaf::result<std::string>;
 
-/// Reads logs and traces a request in them. Fails with `UsageError` when a file cannot be read.
+/// Reads logs, each named after its node, and traces a request in them. Fails with `UsageError` when a file cannot be read.
 auto traceRequestInFiles(std::string_view id, std::span<const std::string> paths) -> leaf::result<std::string>;
 
 } // namespace gypsumhub
