--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -31,6 +31,7 @@
     constexpr auto settleTime = seconds(4);
     constexpr auto calmTime = seconds(2);
 
+    /// Below the ports that the system gives to outgoing connections; several soaks run side by side.
     auto portOf(int purpose) -> uint16_t
     {
         return static_cast<uint16_t>(31'000 + ::getpid() % 150 * 5 + purpose);
@@ -45,7 +46,6 @@
 
 soak_run::soak_run(const soak_settings& settings, uint64_t seed, std::string program, std::string folder)
     : m_settings(settings)
-    , m_seed(seed)
     , m_folder(std::move(folder))
     , m_plan(makeSoakPlan(seed, settings))
     , m_work(asio::make_work_guard(m_context))
@@ -118,7 +118,8 @@
 auto soak_run::writeSettings(uint32_t index) -> void
 {
     auto& own = m_addresses[index];
-    auto lifetime = m_seed % 2 + m_version % 2 == 1 ? "1s" : "2s";
+    // A reload finds another value after each new configuration.
+    auto lifetime = m_version % 2 == 0 ? "1s" : "2s";
     // Renamed into place, so that a node never reads half a file.
     auto path = m_folder + "/node" + std::to_string(index) + ".ini";
     auto file = std::ofstream(path + ".new");
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -67,7 +67,6 @@
     auto collect() -> void;
 
     soak_settings m_settings;
-    uint64_t m_seed;
     std::string m_folder;
     std::vector<soak_event> m_plan;
     std::vector<action> m_actions;
