A removal told by the reading node is taken at once

Ruled out: lost datagrams (the one before, in the same millisecond, reached all), the new start. A node's own trouble says nothing about the reader's store. Test: registration_view, red with view_source ignored.

--- a/gypsumhub/decision/selection/registration_view.cpp
+++ b/gypsumhub/decision/selection/registration_view.cpp
@@ -41,13 +41,13 @@
     return matters ? std::optional(view_change { entry }) : std::nullopt;
 }
 
-auto registration_view::remove(std::string_view id, uint64_t revision, time_point now) -> std::optional<view_change>
+auto registration_view::remove(std::string_view id, uint64_t revision, view_source source, time_point now) -> std::optional<view_change>
 {
     m_revision = std::max(m_revision, revision);
     auto known = m_entries.find(id);
     if (known == m_entries.end() || known->second.revision > revision)
         return std::nullopt;
-    if (now < m_troubleUntil) {
+    if (source == view_source::Store && now < m_troubleUntil) {
         m_held.try_emplace(std::string(id), m_troubleUntil);
         return std::nullopt;
     }
@@ -62,7 +62,7 @@
     return change;
 }
 
-auto registration_view::replace(std::span<const target_registration> listed, uint64_t revision, time_point now) -> std::vector<view_change>
+auto registration_view::replace(std::span<const target_registration> listed, uint64_t revision, view_source source, time_point now) -> std::vector<view_change>
 {
     m_revision = std::max(m_revision, revision);
     auto changes = std::vector<view_change> {};
@@ -76,7 +76,7 @@
             missing.push_back(id);
     }
     for (auto& id : missing) {
-        if (auto change = remove(id, revision, now))
+        if (auto change = remove(id, revision, source, now))
             changes.push_back(std::move(*change));
     }
     return changes;
@@ -100,7 +100,7 @@
     for (auto& id : due) {
         m_held.erase(id);
         if (auto entry = m_entries.find(id); entry != m_entries.end()) {
-            if (auto change = remove(id, entry->second.revision, now))
+            if (auto change = remove(id, entry->second.revision, view_source::Store, now))
                 changes.push_back(std::move(*change));
         }
     }
--- a/gypsumhub/decision/selection/registration_view.h
+++ b/gypsumhub/decision/selection/registration_view.h
@@ -19,18 +19,25 @@
     bool isRemoval { false };
 };
 
+/// Who says that a target has gone.
+enum class view_source : uint8_t {
+    Store,
+    Node,
+};
+
 /// The registrations of all targets as of the newest revision seen, from the store or from another node.
 ///
 /// The store may lose entries of living targets while it is in trouble, and they come back after it has recovered. A
-/// removal in such a time is held back for as long as a target may need to come back.
+/// removal in such a time is held back for as long as a target may need to come back. The node that reads the store decides
+/// that; a node that is told of a removal takes it at once, since its own trouble with the store says nothing about the reader's.
 class registration_view {
 public:
     /// Takes in an entry; returns it when routing must change. Older revisions than the known one change nothing.
     auto put(const target_registration&) -> std::optional<view_change>;
     /// Takes in a removal at a revision; returns it unless it is held back.
-    auto remove(std::string_view id, uint64_t revision, time_point now) -> std::optional<view_change>;
+    auto remove(std::string_view id, uint64_t revision, view_source, time_point now) -> std::optional<view_change>;
     /// Takes in a whole listing: what is not listed is removed.
-    auto replace(std::span<const target_registration>, uint64_t revision, time_point now) -> std::vector<view_change>;
+    auto replace(std::span<const target_registration>, uint64_t revision, view_source, time_point now) -> std::vector<view_change>;
     /// The store did not answer, or answered after a break.
     auto noteTrouble(time_point now) -> void;
     /// Returns the removals whose time has come.
--- a/gypsumhub/gateway/store_access.cpp
+++ b/gypsumhub/gateway/store_access.cpp
@@ -79,15 +79,24 @@
     co_return std::nullopt;
 }
 
+auto store_access::listAtPeer(std::string node, std::string prefix) -> task<std::optional<key_listing>>
+{
+    auto* peer = m_context.roster.find(node);
+    if (!peer)
+        co_return std::nullopt;
+    auto client = kv_client(m_context.io, peer->peerAddress);
+    auto listed = co_await client.list(prefix, bootClockNow() + peerCallLimit);
+    if (listed.status == keyspace_status::Ok)
+        co_return std::move(listed.value);
+    m_context.log.write(log_class::Notable, "peer_list_failed", { { "node", node }, { "prefix", prefix } });
+    co_return std::nullopt;
+}
+
 auto store_access::listAt(std::string node, std::string prefix) -> task<keyspace_result<key_listing>>
 {
-    if (auto* peer = m_context.roster.find(node)) {
-        auto client = kv_client(m_context.io, peer->peerAddress);
-        auto listed = co_await client.list(prefix, bootClockNow() + peerCallLimit);
-        if (listed.status == keyspace_status::Ok)
-            co_return listed;
-        m_context.log.write(log_class::Notable, "peer_list_failed", { { "node", node }, { "prefix", prefix } });
-    }
+    auto told = co_await listAtPeer(std::move(node), prefix);
+    if (told)
+        co_return keyspace_result<key_listing> { keyspace_status::Ok, std::move(*told) };
     auto listed = co_await m_store.list(prefix, bootClockNow() + storeCallLimit);
     noteStore("catch_up", listed.status);
     co_return listed;
--- a/gypsumhub/gateway/store_access.h
+++ b/gypsumhub/gateway/store_access.h
@@ -28,6 +28,8 @@
     auto noteNodes() -> void { m_hasNodes = true; }
     /// At the start: lists a prefix at a node of the data centre that knows it; nothing when the store must be asked.
     auto listAtStart(std::string prefix) -> task<std::optional<key_listing>>;
+    /// Lists a prefix at another node; nothing when that node does not answer.
+    auto listAtPeer(std::string node, std::string prefix) -> task<std::optional<key_listing>>;
     /// Lists a prefix at another node, or at the store when that node does not answer.
     auto listAt(std::string node, std::string prefix) -> task<keyspace_result<key_listing>>;
 
--- a/gypsumhub/gateway/target_follower.cpp
+++ b/gypsumhub/gateway/target_follower.cpp
@@ -53,7 +53,7 @@
 {
     auto known = co_await m_access.listAtStart(std::string(wire_names::targetPrefix));
     if (known)
-        takeListing(*known);
+        takeListing(*known, view_source::Node);
     for (;;) {
         auto now = bootClockNow();
         auto isReader = m_access.context().roster.isReader(now);
@@ -80,21 +80,22 @@
     auto prefix = std::string(wire_names::targetPrefix);
     auto* reader = m_access.context().roster.reader(bootClockNow());
     if (reader) {
-        auto told = co_await m_access.listAt(reader->name, std::move(prefix));
-        if (told.status == keyspace_status::Ok)
-            takeListing(told.value);
-        co_return told.status == keyspace_status::Ok;
+        auto told = co_await m_access.listAtPeer(reader->name, prefix);
+        if (told) {
+            takeListing(*told, view_source::Node);
+            co_return true;
+        }
     }
     auto listed = co_await m_access.store().list(std::move(prefix), bootClockNow() + storeCallLimit);
     if (!m_access.noteStore("registrations", listed.status))
         co_return false;
     m_revision = listed.value.revision;
     m_access.context().viewConfirmedAt = bootClockNow();
-    takeListing(listed.value);
+    takeListing(listed.value, view_source::Store);
     co_return true;
 }
 
-auto target_follower::takeListing(const key_listing& listing) -> void
+auto target_follower::takeListing(const key_listing& listing, view_source source) -> void
 {
     auto targets = std::vector<target_registration> {};
     for (auto& entry : listing.entries) {
@@ -103,7 +104,7 @@
     }
     m_mustList = false;
     m_differences = 0;
-    auto changes = m_access.context().view.replace(targets, listing.revision, bootClockNow());
+    auto changes = m_access.context().view.replace(targets, listing.revision, source, bootClockNow());
     apply(changes);
     if (isRelay(bootClockNow()))
         m_listeners.spread(changes);
@@ -127,7 +128,7 @@
         if (read)
             change = m_access.context().view.put(*read);
         else if (event.isRemoval)
-            change = m_access.context().view.remove(targetIdOf(event.entry.key), event.entry.modRevision, bootClockNow());
+            change = m_access.context().view.remove(targetIdOf(event.entry.key), event.entry.modRevision, view_source::Store, bootClockNow());
         if (change)
             changes.push_back(std::move(*change));
     }
@@ -176,7 +177,7 @@
     auto changes = std::vector<view_change> {};
     for (auto& change : told) {
         auto& entry = change.registration;
-        auto taken = change.isRemoval ? m_access.context().view.remove(entry.id, entry.revision, bootClockNow()) : m_access.context().view.put(entry);
+        auto taken = change.isRemoval ? m_access.context().view.remove(entry.id, entry.revision, view_source::Node, bootClockNow()) : m_access.context().view.put(entry);
         if (taken)
             changes.push_back(std::move(*taken));
     }
--- a/gypsumhub/gateway/target_follower.h
+++ b/gypsumhub/gateway/target_follower.h
@@ -35,7 +35,7 @@
 private:
     auto follow() -> task<>;
     auto readAll() -> task<bool>;
-    auto takeListing(const key_listing&) -> void;
+    auto takeListing(const key_listing&, view_source) -> void;
     auto isRelay(time_point now) const -> bool;
     auto readChanges() -> task<bool>;
     auto readEntry(const store_entry&) -> std::optional<target_registration>;
--- a/unit_tests/decision/selection/registration_view_test.cpp
+++ b/unit_tests/decision/selection/registration_view_test.cpp
@@ -39,7 +39,7 @@
     view.put(draining);
     CHECK_FALSE(view.put(makeEntry("a", 6)));
     CHECK(view.entries().at("a").isDraining);
-    CHECK(view.remove("a", 8, at(0)));
+    CHECK(view.remove("a", 8, view_source::Store, at(0)));
     CHECK_FALSE(view.put(makeEntry("a", 7)));
     CHECK(view.entries().empty());
     CHECK(view.put(makeEntry("a", 9)));
@@ -51,8 +51,8 @@
     view.put(makeEntry("stays", 1));
     view.put(makeEntry("goes", 2));
     view.noteTrouble(at(0));
-    CHECK_FALSE(view.remove("stays", 3, at(100)));
-    CHECK_FALSE(view.remove("goes", 4, at(100)));
+    CHECK_FALSE(view.remove("stays", 3, view_source::Store, at(100)));
+    CHECK_FALSE(view.remove("goes", 4, view_source::Store, at(100)));
     CHECK_FALSE(view.put(makeEntry("stays", 5)));
     CHECK(view.takeRemovals(at(1'000)).empty());
     auto removed = view.takeRemovals(at(3'000));
@@ -67,8 +67,19 @@
     view.put(makeEntry("old", 1));
     view.put(makeEntry("newer", 20));
     auto listed = std::vector<target_registration> { makeEntry("listed", 3) };
-    auto changes = view.replace(listed, 10, at(0));
+    auto changes = view.replace(listed, 10, view_source::Store, at(0));
     CHECK(changes.size() == 2);
     CHECK(view.entries().contains("newer"));
     CHECK_FALSE(view.entries().contains("old"));
 }
+
+TEST_CASE("a node that is cut off from the store takes the removals that a reader tells it at once, and passes them on")
+{
+    auto view = registration_view {};
+    view.put(makeEntry("told", 1));
+    view.put(makeEntry("listed", 2));
+    view.noteTrouble(at(0));
+    CHECK(view.remove("told", 3, view_source::Node, at(100)));
+    CHECK(view.replace({}, 4, view_source::Node, at(100)).size() == 1);
+    CHECK(view.entries().empty());
+}
