A reload asked for while the program starts neither ends it nor is lost

Cause: handlers come with the gateway's parts, after libraries, flags and settings. SIGHUP is now held from the first line of main until the handler is there.

--- /dev/null
+++ b/gypsumhub/core/reload_signal.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace gypsumhub {
+
+/// Keeps SIGHUP, which would end the process, until `releaseReloadSignal`. Called first of all by the program: the settings may
+/// change while it starts. Threads started in between inherit the hold.
+auto holdReloadSignal() -> void;
+
+/// Delivers a SIGHUP that came in between, and all later ones. Called by the thread that held it, once a handler is there.
+auto releaseReloadSignal() -> void;
+
+} // namespace gypsumhub
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -2,6 +2,7 @@
 
 #include "gypsumhub/config/gateway_settings_reader.h"
 #include "gypsumhub/core/clock.h"
+#include "gypsumhub/core/reload_signal.h"
 #include "gypsumhub/gateway/caller_link.h"
 #include "gypsumhub/platform/directory_document.h"
 #include "gypsumhub/platform/wire_names.h"
@@ -61,6 +62,7 @@
     BOOST_LEAF_CHECK(m_peerLists.listen(settings.peerAddress));
     m_context.log.write(log_class::Notable, "started", { { "node", settings.name }, { "data_centre", settings.dataCentre } });
     waitForSignal();
+    releaseReloadSignal();
     m_follower.start();
     asio::co_spawn(m_context.io.get_executor(), acceptCallers(), asio::detached);
     asio::co_spawn(m_context.io.get_executor(), tick(), asio::detached);
--- a/gypsumhub/main/commands.cpp
+++ b/gypsumhub/main/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "gypsumhub/config/gateway_settings_reader.h"
 #include "gypsumhub/config/node_settings_reader.h"
+#include "gypsumhub/core/reload_signal.h"
 #include "gypsumhub/gateway/gateway_node.h"
 #include "gypsumhub/main/node.h"
 #include "gypsumhub/operator/admin_client.h"
@@ -51,6 +52,7 @@
     auto serve(const command_arguments& arguments) -> leaf::result<void>
     {
         BOOST_LEAF_AUTO(settings, readNodeSettings(arguments.front()));
+        releaseReloadSignal();
         google::InitGoogleLogging("gypsumhub");
         auto sink = json_log_sink(settings.log);
         auto server = node(std::move(settings));
--- a/gypsumhub/main/main.cpp
+++ b/gypsumhub/main/main.cpp
@@ -1,3 +1,4 @@
+#include "gypsumhub/core/reload_signal.h"
 #include "gypsumhub/main/commands.h"
 #include "gypsumhub/operator/command_line.h"
 
@@ -7,6 +8,7 @@
 
 auto main(int argc, char** argv) -> int
 {
+    gypsumhub::holdReloadSignal();
     auto arguments = std::span(argv, static_cast<size_t>(argc));
     auto words = std::vector<std::string>(arguments.begin() + 1, arguments.end());
     return gypsumhub::runCommandLine(words, gypsumhub::commandTable());
