Digests and a reader's age limit are worked out once

The digests are sums, so they follow each change. Behaviour is the same; the tests keep their assertions, one on the digest is new.

--- a/gypsumhub/decision/selection/node_roster.cpp
+++ b/gypsumhub/decision/selection/node_roster.cpp
@@ -124,20 +124,26 @@
     return other.registration.storeDelay + distantStore < m_own.storeDelay;
 }
 
-auto node_roster::readsBefore(const node& other, time_point now) const -> bool
+auto node_roster::oldestReaderView() const -> duration
+{
+    return hasNearerStore() ? fedReaderAgeLimit : readerAgeLimit;
+}
+
+auto node_roster::readsBefore(const node& other, duration oldestView, time_point now) const -> bool
 {
     if (other.registration.dataCentre != m_own.dataCentre || other.registration.name >= m_own.name)
         return false;
     if (!other.isHeard)
         return now < m_presumedUntil;
     // One that the store turns away reads in vain.
-    return isHeard(other, now) && other.hello.viewAge < (hasNearerStore() ? fedReaderAgeLimit : readerAgeLimit);
+    return isHeard(other, now) && other.hello.viewAge < oldestView;
 }
 
 auto node_roster::nearReader(time_point now) const -> const node_hello*
 {
+    auto oldestView = oldestReaderView();
     for (auto& [name, other] : m_nodes) {
-        if (readsBefore(other, now))
+        if (readsBefore(other, oldestView, now))
             return &other.hello;
     }
     return nullptr;
@@ -192,7 +198,7 @@
 
 auto node_roster::watchesConfiguration(time_point now) const -> bool
 {
-    auto before = std::ranges::count_if(m_nodes, [&](auto& entry) { return readsBefore(entry.second, now); });
+    auto before = std::ranges::count_if(m_nodes, [&, oldestView = oldestReaderView()](auto& entry) { return readsBefore(entry.second, oldestView, now); });
     return before == 0 ? !feeder(now) : before == 1 && !hasNearerStore();
 }
 
--- a/gypsumhub/decision/selection/node_roster.h
+++ b/gypsumhub/decision/selection/node_roster.h
@@ -91,8 +91,10 @@
 
     auto isAlive(const node&, time_point now) const -> bool;
     auto isHeard(const node&, time_point now) const -> bool;
+    /// The oldest view with which a node still counts as reading for its data centre.
+    auto oldestReaderView() const -> duration;
     /// Whether a node that comes before this one in the data centre reads for it.
-    auto readsBefore(const node&, time_point now) const -> bool;
+    auto readsBefore(const node&, duration oldestView, time_point now) const -> bool;
     auto isNearerToStore(const node&) const -> bool;
     auto hasNearerStore() const -> bool;
     auto nearReader(time_point now) const -> const node_hello*;
--- a/gypsumhub/decision/selection/registration_view.cpp
+++ b/gypsumhub/decision/selection/registration_view.cpp
@@ -37,6 +37,7 @@
     if (auto held = m_held.find(entry.id); held != m_held.end())
         m_held.erase(held);
     auto matters = isNew || !known->second.routesLike(entry);
+    m_digest += digestOf(entry) - (isNew ? 0 : digestOf(known->second));
     m_entries.insert_or_assign(entry.id, entry);
     return matters ? std::optional(view_change { entry }) : std::nullopt;
 }
@@ -58,6 +59,7 @@
     m_removed[known->first] = change.registration.revision;
     if (auto held = m_held.find(id); held != m_held.end())
         m_held.erase(held);
+    m_digest -= digestOf(known->second);
     m_entries.erase(known);
     return change;
 }
@@ -107,12 +109,4 @@
     return changes;
 }
 
-auto registration_view::digest() const -> uint64_t
-{
-    auto sum = uint64_t { 0 };
-    for (auto& [id, entry] : m_entries)
-        sum += digestOf(entry);
-    return sum;
-}
-
 } // namespace gypsumhub
--- a/gypsumhub/decision/selection/registration_view.h
+++ b/gypsumhub/decision/selection/registration_view.h
@@ -44,7 +44,7 @@
     auto takeRemovals(time_point now) -> std::vector<view_change>;
 
     /// Equal for two views that route alike.
-    auto digest() const -> uint64_t;
+    auto digest() const -> uint64_t { return m_digest; }
     /// The newest revision taken in.
     auto revision() const -> uint64_t { return m_revision; }
     auto entries() const -> const std::map<std::string, target_registration, std::less<>>& { return m_entries; }
@@ -56,6 +56,8 @@
     std::map<std::string, time_point, std::less<>> m_held;
     time_point m_troubleUntil {};
     uint64_t m_revision { 0 };
+    /// Sum over the entries, kept up with each change: hellos are compared several times a second.
+    uint64_t m_digest { 0 };
 };
 
 } // namespace gypsumhub
--- a/gypsumhub/gateway/node_follower.cpp
+++ b/gypsumhub/gateway/node_follower.cpp
@@ -28,6 +28,11 @@
     // One difference may be a datagram under way; two in a row are a lost one.
     constexpr auto differencesBeforeReading = 2U;
 
+    auto digestOf(const store_entry& entry) -> uint64_t
+    {
+        return mixHashes(hashName(entry.key), entry.modRevision);
+    }
+
     auto formatNode(const node_registration& node) -> std::string
     {
         return json::serialize(json::object { { "data_centre", node.dataCentre }, { "caller_address", formatEndpoint(node.callerAddress) },
@@ -90,8 +95,12 @@
 
 auto node_follower::remove(const std::string& key) -> void
 {
-    if (m_entries.erase(key) > 0)
-        m_access.context().roster.noteUnregistered(key.substr(prefix.size()), bootClockNow());
+    auto known = m_entries.find(key);
+    if (known == m_entries.end())
+        return;
+    m_digest -= digestOf(known->second);
+    m_entries.erase(known);
+    m_access.context().roster.noteUnregistered(key.substr(prefix.size()), bootClockNow());
 }
 
 auto node_follower::read() -> task<uint64_t>
@@ -153,7 +162,9 @@
 
 auto node_follower::take(const store_entry& entry) -> void
 {
-    m_entries[entry.key] = entry;
+    auto [known, isNew] = m_entries.try_emplace(entry.key);
+    m_digest += digestOf(entry) - (isNew ? 0 : digestOf(known->second));
+    known->second = entry;
     if (auto node = parseNode(entry))
         m_access.context().roster.noteRegistered(*node);
     else
@@ -215,12 +226,4 @@
         asio::detached);
 }
 
-auto node_follower::digest() const -> uint64_t
-{
-    auto sum = uint64_t { 0 };
-    for (auto& [key, entry] : m_entries)
-        sum += mixHashes(hashName(key), entry.modRevision);
-    return sum;
-}
-
 } // namespace gypsumhub
--- a/gypsumhub/gateway/node_follower.h
+++ b/gypsumhub/gateway/node_follower.h
@@ -19,7 +19,7 @@
     auto takeReaderHello(const node_hello&) -> void;
     auto list() const -> key_listing;
     /// Equal for two nodes that know the same registrations.
-    auto digest() const -> uint64_t;
+    auto digest() const -> uint64_t { return m_digest; }
 
     /// Where nodes register in the store.
     static constexpr auto prefix = std::string_view { "gypsumhub/nodes/" };
@@ -41,6 +41,8 @@
     bool m_hasRegistered { false };
     /// As they were written, by key.
     std::map<std::string, store_entry, std::less<>> m_entries;
+    /// Sum over the entries.
+    uint64_t m_digest { 0 };
 };
 
 } // namespace gypsumhub
--- a/unit_tests/decision/selection/registration_view_test.cpp
+++ b/unit_tests/decision/selection/registration_view_test.cpp
@@ -83,3 +83,18 @@
     CHECK(view.replace({}, 4, view_source::Node, at(100)).size() == 1);
     CHECK(view.entries().empty());
 }
+
+TEST_CASE("the digest depends on the entries alone, not on how they came about")
+{
+    auto changed = makeEntry("a", 3);
+    changed.slots = 7;
+    auto view = registration_view {}, direct = registration_view {};
+    view.put(makeEntry("a", 1));
+    view.put(makeEntry("b", 2));
+    view.put(changed);
+    view.remove("b", 4, view_source::Store, at(0));
+    direct.put(changed);
+    CHECK(view.digest() == direct.digest());
+    view.remove("a", 5, view_source::Store, at(0));
+    CHECK(view.digest() == registration_view {}.digest());
+}
