One of each: difference that lasts, asking a peer, whether a node knows enough

Found in the read-through: the node and the target follower each counted differing hellos with a constant of their own; two functions asked a peer for a listing; readiness and held requests each had their own test of what the node knows, through three wrappers; the pause between reads of the nodes stood twice; a comment had come to stand over the wrong function.

--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -36,6 +36,8 @@
     auto lane(std::string_view service) -> service_lane&;
     auto turnsOf(const route&) -> weighted_turns&;
     auto regionOf(std::string_view dataCentre) const -> std::string;
+    /// Whether the node knows routes and targets.
+    auto isInformed() const -> bool { return routes && knowsTargets; }
     auto groupGoal() const -> group_goal { return { settings.directoryNodes, settings.directorySize }; }
     /// Takes in an outcome that this node saw and tells the other nodes when it is news to them. A fault that may lie in
     /// the path to the target is not told: other nodes have other paths.
@@ -66,6 +68,7 @@
     time_point startedAt;
     /// Requests that wait for routes and targets.
     uint32_t heldAtStart { 0 };
+    /// Whether the registrations of targets were read at least once.
     bool knowsTargets { false };
     bool isStopping { false };
     /// From here on new requests are refused, since the process ends before they would.
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -126,7 +126,7 @@
 
 auto gateway_node::isReady() const -> bool
 {
-    return m_context.routes && m_follower.hasTargets() && !m_context.isStopping;
+    return m_context.isInformed() && !m_context.isStopping;
 }
 
 auto gateway_node::answerPeer(std::string_view target) -> short_answer
--- a/gypsumhub/gateway/log_lines.h
+++ b/gypsumhub/gateway/log_lines.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "gypsumhub/core/time_point.h"
-
 #include "gypsumhub/gateway/log_sampler.h"
 
 #include <boost/json/object.hpp>
@@ -36,8 +35,8 @@
     auto write(log_class, std::string_view event, boost::json::object fields) -> void;
     /// Whether the routine lines of a request are written; asked once a request.
     auto samples(std::string_view requestId) -> bool;
-    /// Counts a line that is left out since its request is not sampled.
-    auto noteUnsampled() -> void { ++m_dropped; }
+    /// Counts lines that are left out since their request is not sampled.
+    auto noteUnsampled(size_t lines) -> void { m_dropped += lines; }
     /// Hands over what the reader takes now, and says once a second how many lines were left out. Called several times a second.
     auto flush() -> void;
     auto dropped() const -> uint64_t { return m_dropped; }
--- a/gypsumhub/gateway/node_follower.cpp
+++ b/gypsumhub/gateway/node_follower.cpp
@@ -22,11 +22,10 @@
     constexpr auto startTime = seconds(4);
     // Nodes that register before they list see all that came before them.
     constexpr auto registrationLimit = milliseconds(500);
+    constexpr auto registrationCheck = milliseconds(10);
     // A node that dies is missed by the nodes of other data centres for so long; its own data centre hears at once.
     constexpr auto leaseLength = seconds(8);
     constexpr auto leaseRenewal = milliseconds(2600);
-    // One difference may be a datagram under way; two in a row are a lost one.
-    constexpr auto differencesBeforeReading = 2U;
 
     auto digestOf(const store_entry& entry) -> uint64_t
     {
@@ -78,10 +77,10 @@
 
 auto node_follower::takeReaderHello(const node_hello& hello) -> void
 {
-    m_differences = hello.nodesDigest == digest() ? 0 : m_differences + 1;
-    if (m_differences < differencesBeforeReading || m_isCatchingUp)
+    auto lasts = m_difference.note(hello.nodesDigest != digest());
+    if (!lasts || m_isCatchingUp)
         return;
-    m_differences = 0;
+    m_difference.clear();
     asio::co_spawn(m_access.context().io.get_executor(), catchUp(hello.name), asio::detached);
 }
 
@@ -115,11 +114,15 @@
     co_return listed.value.revision;
 }
 
+auto node_follower::pauseBetweenReads() const -> duration
+{
+    return bootClockNow() < m_access.context().startedAt + startTime ? startNodePause : nodePause;
+}
+
 auto node_follower::follow() -> task<>
 {
-    auto startedAt = bootClockNow();
-    while (!m_hasRegistered && bootClockNow() < startedAt + registrationLimit)
-        co_await m_access.pause(milliseconds(10));
+    while (!m_hasRegistered && bootClockNow() < m_access.context().startedAt + registrationLimit)
+        co_await m_access.pause(registrationCheck);
     for (auto revision = uint64_t { 0 };;) {
         if (!m_entries.empty() && !m_access.context().roster.isReader(bootClockNow())) {
             revision = 0;
@@ -131,7 +134,7 @@
             if (revision == 0)
                 co_await m_access.pauseAfterFailure();
             else
-                co_await m_access.pause(bootClockNow() < startedAt + startTime ? startNodePause : nodePause);
+                co_await m_access.pause(pauseBetweenReads());
             continue;
         }
         auto followed = co_await m_access.store().follow(std::string(prefix), revision, bootClockNow() + longestWatch);
@@ -145,7 +148,7 @@
             }
         } else
             revision = 0;
-        co_await m_access.pause(bootClockNow() < startedAt + startTime ? startNodePause : nodePause);
+        co_await m_access.pause(pauseBetweenReads());
     }
 }
 
--- a/gypsumhub/gateway/node_follower.h
+++ b/gypsumhub/gateway/node_follower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gypsumhub/decision/selection/lasting_difference.h"
 #include "gypsumhub/gateway/store_access.h"
 
 #include <map>
@@ -26,6 +27,7 @@
 
 private:
     auto follow() -> task<>;
+    auto pauseBetweenReads() const -> duration;
     auto read() -> task<uint64_t>;
     auto catchUp(std::string from) -> task<>;
     auto keepRegistration() -> task<>;
@@ -35,8 +37,7 @@
 
     store_access& m_access;
     uint64_t m_lease { 0 };
-    /// Hellos in a row whose digest differs from this node's.
-    uint32_t m_differences { 0 };
+    lasting_difference m_difference;
     bool m_isCatchingUp { false };
     bool m_hasRegistered { false };
     /// As they were written, by key.
--- a/gypsumhub/gateway/request_run.cpp
+++ b/gypsumhub/gateway/request_run.cpp
@@ -85,13 +85,12 @@
 
 auto request_run::awaitStart() -> task<>
 {
-    auto isInformed = [this] { return m_context.routes && m_context.knowsTargets; };
-    if (isInformed())
+    if (m_context.isInformed())
         co_return;
     auto until = holdUntil(m_arrivedAt, m_context.startedAt, m_context.heldAtStart);
     auto timer = steady_timer(m_context.io.get_executor());
     ++m_context.heldAtStart;
-    while (!isInformed() && !m_callerLeft && bootClockNow() < until)
+    while (!m_context.isInformed() && !m_callerLeft && bootClockNow() < until)
         co_await sleepUntil(timer, bootClockNow() + startCheck);
     --m_context.heldAtStart;
     m_routes = m_context.routes;
@@ -374,8 +373,7 @@
     if (m_callerLeft)
         fields["caller_left"] = true;
     if (isSuccess && !m_isSampled) {
-        for (auto left = m_unsaid.size() + 1; left > 0; --left)
-            m_context.log.noteUnsampled();
+        m_context.log.noteUnsampled(m_unsaid.size() + 1);
         return;
     }
     // A request that failed is told whole.
--- a/gypsumhub/gateway/store_access.cpp
+++ b/gypsumhub/gateway/store_access.cpp
@@ -59,13 +59,7 @@
     auto limit = bootClockNow() + startListLimit;
     auto sources = m_context.roster.startSources();
     for (auto source = sources.begin(); source != sources.end() && bootClockNow() < limit;) {
-        auto* peer = m_context.roster.find(*source);
-        if (!peer) {
-            ++source;
-            continue;
-        }
-        auto client = kv_client(m_context.io, peer->peerAddress);
-        auto listed = co_await client.list(prefix, bootClockNow() + startCallLimit);
+        auto listed = co_await askPeer(*source, prefix, bootClockNow() + startCallLimit);
         if (listed.status == keyspace_status::Ok) {
             m_context.log.write(log_class::Notable, "listed_at_peer", { { "node", *source }, { "prefix", prefix }, { "entries", listed.value.entries.size() } });
             co_return std::move(listed.value);
@@ -79,13 +73,19 @@
     co_return std::nullopt;
 }
 
-auto store_access::listAtPeer(std::string node, std::string prefix) -> task<std::optional<key_listing>>
+auto store_access::askPeer(std::string node, std::string prefix, time_point deadline) -> task<keyspace_result<key_listing>>
 {
     auto* peer = m_context.roster.find(node);
     if (!peer)
-        co_return std::nullopt;
+        co_return keyspace_result<key_listing> {};
     auto client = kv_client(m_context.io, peer->peerAddress);
-    auto listed = co_await client.list(prefix, bootClockNow() + peerCallLimit);
+    auto listed = co_await client.list(std::move(prefix), deadline);
+    co_return listed;
+}
+
+auto store_access::listAtPeer(std::string node, std::string prefix) -> task<std::optional<key_listing>>
+{
+    auto listed = co_await askPeer(node, prefix, bootClockNow() + peerCallLimit);
     if (listed.status == keyspace_status::Ok)
         co_return std::move(listed.value);
     m_context.log.write(log_class::Notable, "peer_list_failed", { { "node", node }, { "prefix", prefix } });
--- a/gypsumhub/gateway/store_access.h
+++ b/gypsumhub/gateway/store_access.h
@@ -34,6 +34,8 @@
     auto listAt(std::string node, std::string prefix) -> task<keyspace_result<key_listing>>;
 
 private:
+    auto askPeer(std::string node, std::string prefix, time_point deadline) -> task<keyspace_result<key_listing>>;
+
     gateway_context& m_context;
     keyspace& m_store;
     bool m_isLost { false };
--- a/gypsumhub/gateway/store_follower.h
+++ b/gypsumhub/gateway/store_follower.h
@@ -24,7 +24,6 @@
     /// The entries under a prefix as this node knows them, for other nodes; nothing for what it does not know.
     auto listFor(std::string_view prefix) const -> std::optional<key_listing>;
     auto nodesDigest() const -> uint64_t { return m_nodes.digest(); }
-    auto hasTargets() const -> bool { return m_targets.hasTargets(); }
 
 private:
     store_access m_access;
--- a/gypsumhub/gateway/target_follower.cpp
+++ b/gypsumhub/gateway/target_follower.cpp
@@ -10,13 +10,6 @@
 
 namespace gypsumhub {
 
-namespace {
-
-    // One differing view may be a datagram under way; two in a row are a lost one.
-    constexpr auto differencesBeforeReading = 2U;
-
-} // namespace
-
 target_follower::target_follower(store_access& access, listeners listeners)
     : m_access(access)
     , m_listeners(std::move(listeners))
@@ -31,16 +24,16 @@
 auto target_follower::takeReaderHello(const node_hello& hello) -> void
 {
     auto& context = m_access.context();
-    if (hello.viewDigest == context.view.digest()) {
-        m_differences = 0;
+    auto differs = hello.viewDigest != context.view.digest();
+    if (!differs)
         context.viewConfirmedAt = std::max(context.viewConfirmedAt, bootClockNow() - hello.viewAge);
-    } else if (++m_differences >= differencesBeforeReading)
+    if (m_difference.note(differs))
         m_mustList = true;
 }
 
 auto target_follower::list() const -> std::optional<key_listing>
 {
-    if (!hasTargets())
+    if (!m_access.context().knowsTargets)
         return std::nullopt;
     auto& view = m_access.context().view;
     auto listing = key_listing { {}, view.revision() };
@@ -103,7 +96,7 @@
             targets.push_back(std::move(*read));
     }
     m_mustList = false;
-    m_differences = 0;
+    m_difference.clear();
     auto changes = m_access.context().view.replace(targets, listing.revision, source, bootClockNow());
     apply(changes);
     if (isRelay(bootClockNow()))
@@ -163,7 +156,7 @@
             m_access.context().board.remove(entry.id);
             m_access.context().links.removeTarget(entry.id);
         } else
-            m_access.context().board.put(entry, now, hasTargets());
+            m_access.context().board.put(entry, now, m_access.context().knowsTargets);
         auto what = change.isRemoval ? "target_removed" : entry.isDraining ? "target_draining"
                                                                            : "target_registered";
         m_access.context().log.write(log_class::Notable, what,
--- a/gypsumhub/gateway/target_follower.h
+++ b/gypsumhub/gateway/target_follower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gypsumhub/decision/selection/lasting_difference.h"
 #include "gypsumhub/gateway/store_access.h"
 
 #include <functional>
@@ -27,10 +28,8 @@
     auto takeReaderHello(const node_hello&) -> void;
     /// Carries out removals whose time has come.
     auto tick() -> void;
-    /// Whether the registrations were read at least once.
     /// The registrations as this node knows them; nothing before it knows them.
     auto list() const -> std::optional<key_listing>;
-    auto hasTargets() const -> bool { return m_access.context().knowsTargets; }
 
 private:
     auto follow() -> task<>;
@@ -44,8 +43,7 @@
     store_access& m_access;
     listeners m_listeners;
     uint64_t m_revision { 0 };
-    /// Hellos in a row whose view differs from this node's.
-    uint32_t m_differences { 0 };
+    lasting_difference m_difference;
     bool m_mustList { true };
 };
 
