Gateway: pipelined requests served at the same time, shutdown refuses what cannot end

Cause: a connection served one request after the other, so a pipelined request waited for the whole first one while targets were free, and its time ran out. A caller that left behind unread pipelined bytes was not noticed: the connection peeked once and stopped at the first readable byte. An answer with Connection: close was followed by close() with unread bytes, which resets the connection and can destroy the answer. A stopping node took requests until 1.7 s before its end whatever their deadline, and cut the slow ones.

The close of the caller is seen by reading ahead, beyond 64 KB by polling for it. Behind a closing answer nothing is read; the connection is half closed and bytes are discarded for 300 ms or 1 MB. shutdown_schedule decides what a stopping node still serves: anything for 2.8 s or half of the stop limit, later only what its deadline ends in time, and targets get a deadline before the end.

--- a/fakes/fake_gateway_target.cpp
+++ b/fakes/fake_gateway_target.cpp
@@ -107,8 +107,13 @@
             continue;
         }
         recordArrival(id, true);
-        std::this_thread::sleep_for(std::chrono::nanoseconds(m_serviceTimeNs.load()));
-        auto answer = makeAnswer(behaviour == target_behaviour::Fails ? 500 : 200, id, m_id);
+        auto delay = std::string(request[delayField]);
+        auto serviceTime = delay.empty() ? std::chrono::nanoseconds(m_serviceTimeNs.load()) : std::chrono::nanoseconds(std::chrono::milliseconds(std::stol(delay)));
+        // A target stops work when the time left that it received is over.
+        auto left = std::string(request["Deadline-Ms"]);
+        auto limit = std::chrono::nanoseconds(left.empty() ? std::chrono::hours(1) : std::chrono::milliseconds(std::stol(left)));
+        std::this_thread::sleep_for(std::min<std::chrono::nanoseconds>(serviceTime, limit));
+        auto answer = makeAnswer(serviceTime > limit ? 504 : behaviour == target_behaviour::Fails ? 500 : 200, id, m_id);
         if (behaviour == target_behaviour::AnswersOtherRequest)
             send(makeAnswer(200, "another", "another"));
         if (behaviour == target_behaviour::Drops || behaviour == target_behaviour::Cuts) {
--- a/fakes/fake_gateway_target.h
+++ b/fakes/fake_gateway_target.h
@@ -37,6 +37,9 @@
 /// Fake of a target on the users' platform. Runs one thread per connection.
 class fake_gateway_target {
 public:
+    /// Header field of a request with the milliseconds that the target takes to run it, instead of the target's service time.
+    static constexpr auto delayField = "Test-Delay-Ms";
+
     fake_gateway_target(const std::string& address, std::string id);
     ~fake_gateway_target();
 
--- /dev/null
+++ b/gypsumhub/decision/selection/shutdown_schedule.cpp
@@ -0,0 +1,34 @@
+#include "gypsumhub/decision/selection/shutdown_schedule.h"
+
+#include <algorithm>
+
+namespace gypsumhub {
+
+namespace {
+
+    // The process ends this long before it would be killed.
+    constexpr auto killMargin = milliseconds(400);
+    // Time to write the last refusals before the process ends.
+    constexpr auto readMargin = milliseconds(60);
+    // Time for an answer that a target sends at its deadline to arrive and to be passed on.
+    constexpr auto answerMargin = milliseconds(150);
+    // Requests that arrive within this time of the signal are served whatever their deadline: callers have not yet received a
+    // directory answer without this node. A request that arrives later must be certain to end in time.
+    constexpr auto maxServingTime = milliseconds(2800);
+
+} // namespace
+
+shutdown_schedule::shutdown_schedule(time_point now, time_point killedAt)
+    : m_servesUntil(now + std::min(maxServingTime, (killedAt - now) / 2))
+    , m_latestDeadline(killedAt - killMargin - answerMargin)
+    , m_stopsReadingAt(killedAt - killMargin - readMargin)
+    , m_endsAt(killedAt - killMargin)
+{
+}
+
+auto shutdown_schedule::accepts(time_point now, time_point deadline) const -> bool
+{
+    return now < m_servesUntil || (now < m_stopsReadingAt && deadline <= m_latestDeadline);
+}
+
+} // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/decision/selection/shutdown_schedule.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "gypsumhub/core/time_point.h"
+
+namespace gypsumhub {
+
+/// The course of a node's shutdown: which requests it still serves, and until when.
+///
+/// Answers the load of nodes that are stopped in turn under traffic. Callers keep a directory answer for seconds, so requests arrive
+/// for most of the shutdown. A request that is sent to a target late would be cut off by the end of the process, so it is refused
+/// as not run while another node can still serve it.
+class shutdown_schedule {
+public:
+    /// No shutdown has begun.
+    shutdown_schedule() = default;
+    /// A shutdown that begins at `now`. The platform kills the process at `killedAt`.
+    shutdown_schedule(time_point now, time_point killedAt);
+
+    auto hasBegun() const -> bool { return m_endsAt != never; }
+    /// Whether a request that is ready to be sent at `now` is served. `deadline` is when its caller or its route gives it up.
+    auto accepts(time_point now, time_point deadline) const -> bool;
+    /// The latest deadline that a target may be given: its answer at that deadline still reaches the caller.
+    auto latestDeadline() const -> time_point { return m_latestDeadline; }
+    /// From then on the node reads no further request. A request that was not read may be sent again elsewhere.
+    auto stopsReadingAt() const -> time_point { return m_stopsReadingAt; }
+    /// When the process ends.
+    auto endsAt() const -> time_point { return m_endsAt; }
+
+private:
+    time_point m_servesUntil { never };
+    time_point m_latestDeadline { never };
+    time_point m_stopsReadingAt { never };
+    time_point m_endsAt { never };
+};
+
+} // namespace gypsumhub
--- a/gypsumhub/gateway/caller_connection.cpp
+++ b/gypsumhub/gateway/caller_connection.cpp
@@ -2,18 +2,26 @@
 
 #include "gypsumhub/core/clock.h"
 
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
-#include <sys/socket.h>
+#include <poll.h>
+#include <utility>
 
 namespace gypsumhub {
 
 namespace {
 
-    constexpr auto readChunk = size_t { 8 * 1024 };
+    // Bytes that are received ahead of the requests that may be read, at least.
+    constexpr auto minReadAheadBytes = size_t { 64 * 1024 };
+    // How often a connection whose read-ahead is full is checked for having been closed.
+    constexpr auto spaceCheckInterval = milliseconds(100);
     // A caller that does not read its answer within this time is considered gone.
     constexpr auto writeTimeout = seconds(10);
-    // Time for the caller to read a refusal. Closing the connection with unread request bytes resets it.
+    // Limits of discarding what a caller sends behind the last answer.
     constexpr auto lingerTimeout = milliseconds(300);
+    constexpr auto maxLingerBytes = size_t { 1024 * 1024 };
 
     auto limitsOf(const gateway_context& context) -> caller_limits
     {
@@ -27,139 +35,261 @@
         return code == result_code::RequestTooSlow ? 408 : 400;
     }
 
+    auto isHeadRequest(const inbound_message& message) -> bool
+    {
+        return message.method() == http::verb::head;
+    }
+
 } // namespace
 
 caller_connection::caller_connection(gateway_context& context, tcp_socket socket)
     : m_context(context)
     , m_socket(std::move(socket))
-    , m_timer(context.io.get_executor())
+    , m_readTimer(context.io.get_executor())
+    , m_writeTimer(context.io.get_executor())
+    , m_spaceTimer(context.io.get_executor())
 {
     setNoDelay(m_socket);
 }
 
 auto caller_connection::run() -> task<>
 {
+    m_receivedAt = bootClockNow();
+    updateReadDeadline();
     for (auto isOpen = true; isOpen;) {
-        auto limits = limitsOf(m_context);
-        auto reader = request_reader({ limits.headerBytes, limits.bodyBytes });
-        auto ended = co_await readRequest(reader);
-        switch (ended) {
-        case read_end::Request:
-            isOpen = co_await answerRequest(reader.release());
-            break;
-        case read_end::Failed: {
-            // The reader reports no fault when the caller was too slow.
-            auto fault = reader.fault() == result_code::Ok ? result_code::RequestTooSlow : reader.fault();
-            ++m_context.counters.badRequests;
-            m_context.log.write(log_class::Notable, "request_refused",
-                { { "reason", describe(fault).name }, { "has_header", reader.hasHeader() } });
-            co_await answerFault(statusOf(fault, reader.hasHeader()));
-            isOpen = false;
-            break;
-        }
-        case read_end::Closed:
-            isOpen = false;
-            break;
-        }
+        isOpen = co_await receive();
+        if (isOpen)
+            co_await readRequests();
+        updateReadDeadline();
     }
-    closeNow(m_socket);
+    handleCallerLeft();
 }
 
-auto caller_connection::readRequest(request_reader& reader) -> task<read_end>
+auto caller_connection::hasSpace() const -> bool
 {
-    auto limits = limitsOf(m_context);
-    auto hasBegun = m_buffer.size() > 0;
-    auto isLate = false;
-    auto cancelRead = [this, &isLate] {
-        isLate = true;
-        auto ignored = error_code {};
-        m_socket.cancel(ignored);
-    };
-    m_timer.arm(bootClockNow() + (hasBegun ? limits.headerReadLimit : limits.idleLimit), cancelRead);
-    for (;;) {
+    return m_buffer.size() < std::max<size_t>(minReadAheadBytes, limitsOf(m_context).headerBytes + m_received.size());
+}
+
+auto caller_connection::receive() -> task<bool>
+{
+    auto isOpen = co_await waitForSpace();
+    if (!isOpen)
+        co_return false;
+    auto [error, count] = co_await m_socket.async_read_some(asio::buffer(m_received), useTask);
+    if (error)
+        co_return false;
+    m_receivedAt = bootClockNow();
+    if (m_intake == intake::Lingering) {
+        m_discardedBytes += count;
+        co_return m_discardedBytes <= maxLingerBytes;
+    }
+    if (m_intake == intake::Requests)
+        m_buffer.commit(asio::buffer_copy(m_buffer.prepare(count), asio::buffer(m_received.data(), count)));
+    co_return true;
+}
+
+auto caller_connection::waitForSpace() -> task<bool>
+{
+    while (m_intake == intake::Requests && !hasSpace()) {
+        if (!m_socket.is_open() || hasCallerClosed())
+            co_return false;
+        co_await sleepUntil(m_spaceTimer, bootClockNow() + spaceCheckInterval);
+    }
+    co_return true;
+}
+
+auto caller_connection::hasCallerClosed() -> bool
+{
+    auto polled = pollfd { m_socket.native_handle(), POLLRDHUP, 0 };
+    return ::poll(&polled, 1, 0) > 0 && (polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+auto caller_connection::mayReadRequest() const -> bool
+{
+    if (m_intake != intake::Requests || m_buffer.size() == 0 || !m_pipeline.hasRoom())
+        return false;
+    // A stopping node closes the connection with the answers to the requests that it has read already.
+    auto& shutdown = m_context.shutdown;
+    return !shutdown.hasBegun() || (m_pipeline.isEmpty() && bootClockNow() < shutdown.stopsReadingAt());
+}
+
+auto caller_connection::readRequests() -> task<>
+{
+    while (mayReadRequest()) {
+        if (!m_reader) {
+            auto limits = limitsOf(m_context);
+            m_reader = std::make_unique<request_reader>(request_reader::limits { limits.headerBytes, limits.bodyBytes });
+            m_requestBeganAt = bootClockNow();
+        }
         auto data = m_buffer.data();
-        m_buffer.consume(reader.feed({ static_cast<const char*>(data.data()), data.size() }));
-        if (reader.state() == request_reader::progress::Done || reader.state() == request_reader::progress::Failed)
+        m_buffer.consume(m_reader->feed({ static_cast<const char*>(data.data()), data.size() }));
+        switch (m_reader->state()) {
+        case request_reader::progress::NeedMore:
+            co_return;
+        case request_reader::progress::ExpectsContinue:
+            // The interim answer must not appear between answers to earlier requests.
+            if (!m_pipeline.isEmpty())
+                co_return;
+            co_await sendContinue();
+            break;
+        case request_reader::progress::Failed:
+            refuseBytes(m_reader->fault());
+            break;
+        case request_reader::progress::Done:
+            addRequest(m_reader->release());
+            m_reader.reset();
             break;
-        if (reader.state() == request_reader::progress::ExpectsContinue) {
-            constexpr auto proceed = std::string_view { "HTTP/1.1 100 Continue\r\n\r\n" };
-            co_await asio::async_write(m_socket, asio::buffer(proceed), useTask);
-            reader.resume();
-        }
-        auto [error, count] = co_await m_socket.async_read_some(m_buffer.prepare(readChunk), useTask);
-        if (error) {
-            m_timer.disarm();
-            // A connection that ends while idle, without a partial request, needs no answer.
-            co_return isLate&& hasBegun ? read_end::Failed : read_end::Closed;
         }
-        m_buffer.commit(count);
-        if (!hasBegun) {
-            hasBegun = true;
-            m_timer.arm(bootClockNow() + limits.headerReadLimit, cancelRead);
-        } else if (reader.hasHeader())
-            m_timer.arm(bootClockNow() + limits.idleLimit, cancelRead);
     }
-    m_timer.disarm();
-    m_readAt = bootClockNow();
-    co_return reader.state() == request_reader::progress::Done ? read_end::Request : read_end::Failed;
 }
 
-auto caller_connection::watchCaller(std::shared_ptr<request_handler> handler) -> void
+auto caller_connection::sendContinue() -> task<>
 {
-    m_watched = std::move(handler);
-    m_socket.async_wait(tcp_socket::wait_read, [self = shared_from_this(), watched = m_watched](const error_code& error) {
-        if (error || self->m_watched != watched)
-            return;
-        auto byte = char {};
-        auto count = ::recv(self->m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        // Readable bytes belong to the next, pipelined request, which is read later. No bytes mean that the caller closed its side.
-        if (count == 0 || (count < 0 && errno != EAGAIN))
-            watched->handleCallerLeft();
-    });
+    constexpr auto proceed = std::string_view { "HTTP/1.1 100 Continue\r\n\r\n" };
+    m_reader->resume();
+    auto wasWriting = std::exchange(m_isWriting, true);
+    co_await asio::async_write(m_socket, asio::buffer(proceed), useTask);
+    m_isWriting = wasWriting;
+    if (!wasWriting)
+        co_await writeReplies();
 }
 
-auto caller_connection::answerRequest(inbound_message message) -> task<bool>
+auto caller_connection::addRequest(inbound_message message) -> void
 {
-    auto keepOpen = message.keep_alive();
-    auto isHead = message.method() == http::verb::head;
-    auto handler = std::make_shared<request_handler>(m_context, std::move(message), m_readAt);
-    watchCaller(handler);
-    auto reply = co_await handler->run();
-    m_watched.reset();
-    auto ignored = error_code {};
-    m_socket.cancel(ignored);
-    auto isOpen = co_await writeReply(std::move(reply), keepOpen && !m_context.isStopping, isHead);
-    co_return isOpen;
+    auto added = pipelined_request { .isHead = isHeadRequest(message), .keepOpen = message.keep_alive(), .bodyBytes = message.body().size() };
+    added.handler = std::make_shared<request_handler>(m_context, std::move(message), m_receivedAt);
+    added.mayOverlap = added.handler->isRetryable();
+    if (!added.keepOpen)
+        m_intake = intake::Ignored;
+    m_context.counters.pipelined += m_pipeline.isEmpty() ? 0 : 1;
+    m_pipeline.add(std::move(added));
+    startRequests();
+}
+
+auto caller_connection::refuseBytes(result_code fault) -> void
+{
+    auto hasHeader = m_reader && m_reader->hasHeader();
+    ++m_context.counters.badRequests;
+    m_context.log.write(log_class::Notable, "request_refused", { { "reason", describe(fault).name }, { "has_header", hasHeader } });
+    m_intake = intake::Ignored;
+    m_pipeline.add({ .keepOpen = false, .isStarted = true, .reply = caller_reply(http::int_to_status(statusOf(fault, hasHeader)), 11) });
+    asio::co_spawn(
+        m_context.io.get_executor(), [self = shared_from_this()]() -> task<> { co_await self->writeReplies(); }, asio::detached);
+}
+
+auto caller_connection::startRequests() -> void
+{
+    while (auto started = m_pipeline.startNext()) {
+        asio::co_spawn(
+            m_context.io.get_executor(),
+            [self = shared_from_this(), started]() -> task<> {
+                auto reply = co_await started->handler->run();
+                started->reply = std::move(reply);
+                co_await self->writeReplies();
+            },
+            asio::detached);
+    }
+}
+
+auto caller_connection::writeReplies() -> task<>
+{
+    if (m_isWriting)
+        co_return;
+    m_isWriting = true;
+    while (auto next = m_pipeline.nextToWrite()) {
+        auto isLastOfStop = m_context.shutdown.hasBegun() && !m_pipeline.hasStartedBehindFirst();
+        auto keepOpen = next->keepOpen && !isLastOfStop;
+        auto isWritten = co_await writeReply(*next, keepOpen);
+        m_pipeline.removeFirst();
+        if (!isWritten) {
+            closeNow(m_socket);
+            handleCallerLeft();
+        } else if (!keepOpen) {
+            m_pipeline.removeUnstarted();
+            beginLinger();
+        } else {
+            startRequests();
+            co_await readRequests();
+        }
+    }
+    m_isWriting = false;
+    if (m_hasCallerLeft && m_pipeline.isEmpty())
+        closeNow(m_socket);
+    else
+        updateReadDeadline();
 }
 
-auto caller_connection::writeReply(caller_reply reply, bool keepOpen, bool isHead) -> task<bool>
+auto caller_connection::writeReply(pipelined_request& answered, bool keepOpen) -> task<bool>
 {
+    auto& reply = *answered.reply;
     reply.version(11);
     reply.keep_alive(keepOpen);
     auto status = reply.result_int();
     auto hasNoBody = status == 204 || status == 304;
     // The Content-Length of an answer to HEAD is that of the omitted body and must be kept.
-    if (!hasNoBody && !(isHead && reply.has_content_length()))
+    if (!hasNoBody && !(answered.isHead && reply.has_content_length()))
         reply.content_length(reply.body().size());
-    m_timer.arm(bootClockNow() + writeTimeout, [this] { closeNow(m_socket); });
+    m_writeTimer.arm(bootClockNow() + writeTimeout, [this] { closeNow(m_socket); });
     auto [error, written] = co_await http::async_write(m_socket, reply, useTask);
-    m_timer.disarm();
-    co_return !error && keepOpen;
+    m_writeTimer.disarm();
+    co_return !error;
 }
 
-auto caller_connection::answerFault(unsigned status) -> task<>
+auto caller_connection::beginLinger() -> void
 {
-    co_await writeReply(caller_reply(http::int_to_status(status), 11), false, false);
+    m_intake = intake::Lingering;
+    m_lingerUntil = bootClockNow() + lingerTimeout;
+    m_buffer.clear();
     auto ignored = error_code {};
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
-    m_timer.arm(bootClockNow() + lingerTimeout, [this] { closeNow(m_socket); });
-    // Reads and discards what the caller still sends, so that it receives the answer instead of a reset.
-    for (auto isOpen = true; isOpen;) {
-        m_buffer.clear();
-        auto [error, count] = co_await m_socket.async_read_some(m_buffer.prepare(readChunk), useTask);
-        isOpen = !error;
+    updateReadDeadline();
+}
+
+auto caller_connection::isReadingRequest() const -> bool
+{
+    auto waitsForTurn = !m_pipeline.isEmpty() && (!m_pipeline.hasRoom() || (m_reader && m_reader->state() == request_reader::progress::ExpectsContinue));
+    return m_intake == intake::Requests && m_reader && !waitsForTurn;
+}
+
+auto caller_connection::updateReadDeadline() -> void
+{
+    auto limits = limitsOf(m_context);
+    auto deadline = never;
+    if (m_intake == intake::Lingering)
+        deadline = m_lingerUntil;
+    else if (isReadingRequest())
+        deadline = m_reader->hasHeader() ? m_receivedAt + limits.idleLimit : m_requestBeganAt + limits.headerReadLimit;
+    else if (m_pipeline.isEmpty())
+        deadline = bootClockNow() + limits.idleLimit;
+    if (deadline == never || !m_socket.is_open() || m_hasCallerLeft)
+        m_readTimer.disarm();
+    else
+        m_readTimer.arm(deadline, [this] { handleReadTimeout(); });
+}
+
+auto caller_connection::handleReadTimeout() -> void
+{
+    if (isReadingRequest())
+        refuseBytes(result_code::RequestTooSlow);
+    else
+        closeNow(m_socket);
+}
+
+auto caller_connection::handleCallerLeft() -> void
+{
+    if (m_hasCallerLeft)
+        return;
+    m_hasCallerLeft = true;
+    m_intake = intake::Ignored;
+    m_readTimer.disarm();
+    m_buffer.clear();
+    m_pipeline.removeUnstarted();
+    for (auto& open : m_pipeline.open()) {
+        if (open->handler && !open->reply)
+            open->handler->handleCallerLeft();
     }
-    m_timer.disarm();
+    if (m_pipeline.isEmpty() && !m_isWriting)
+        closeNow(m_socket);
 }
 
 } // namespace gypsumhub
--- a/gypsumhub/gateway/caller_connection.h
+++ b/gypsumhub/gateway/caller_connection.h
@@ -1,13 +1,15 @@
 #pragma once
 
-#include "gypsumhub/gateway/request_handler.h"
+#include "gypsumhub/gateway/request_pipeline.h"
 
+#include <array>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <memory>
 
 namespace gypsumhub {
 
-/// One connection from a caller. Reads requests sequentially (HTTP/1.1 keep-alive) and answers each.
+/// One connection from a caller (HTTP/1.1 with keep-alive and pipelining). Reads requests while earlier ones are open, answers them
+/// in order of arrival, and notices when the caller leaves.
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
 public:
     caller_connection(gateway_context&, tcp_socket);
@@ -15,24 +17,61 @@
     auto run() -> task<>;
 
 private:
-    /// How reading a request ended.
-    enum class read_end : uint8_t { Request,
-        Closed,
-        Failed };
+    /// What becomes of the bytes that the caller sends.
+    enum class intake : uint8_t {
+        Requests,
+        /// The last request was read or refused. Further bytes are ignored until its answer is written.
+        Ignored,
+        /// The last answer is written. Further bytes are discarded until the caller closes, since closing a connection with unread
+        /// bytes resets it, and the reset can destroy the answer before the caller has read it.
+        Lingering,
+    };
 
-    auto readRequest(request_reader&) -> task<read_end>;
-    auto answerRequest(inbound_message) -> task<bool>;
-    auto answerFault(unsigned status) -> task<>;
-    auto writeReply(caller_reply, bool keepOpen, bool isHead) -> task<bool>;
-    auto watchCaller(std::shared_ptr<request_handler>) -> void;
+    /// Receives bytes. Returns false when the connection has ended.
+    auto receive() -> task<bool>;
+    /// Waits while no more bytes can be held. Returns false when the caller has left meanwhile.
+    auto waitForSpace() -> task<bool>;
+    auto hasSpace() const -> bool;
+    /// Whether the caller has closed its side, even if unread bytes precede the close.
+    auto hasCallerClosed() -> bool;
+    /// Parses the received bytes and starts the requests in them, as far as the pipeline has room.
+    auto readRequests() -> task<>;
+    auto mayReadRequest() const -> bool;
+    auto sendContinue() -> task<>;
+    auto addRequest(inbound_message) -> void;
+    /// Answers bytes that are no valid request. The connection ends with that answer.
+    auto refuseBytes(result_code fault) -> void;
+    auto startRequests() -> void;
+    /// Writes the answers that are ready and whose turn has come.
+    auto writeReplies() -> task<>;
+    auto writeReply(pipelined_request&, bool keepOpen) -> task<bool>;
+    auto beginLinger() -> void;
+    /// Whether a request is partly read and the next bytes of it are up to the caller.
+    auto isReadingRequest() const -> bool;
+    /// Sets the deadline until which the caller must have sent its next bytes.
+    auto updateReadDeadline() -> void;
+    auto handleReadTimeout() -> void;
+    auto handleCallerLeft() -> void;
 
     gateway_context& m_context;
     tcp_socket m_socket;
-    deadline_timer m_timer;
+    deadline_timer m_readTimer;
+    deadline_timer m_writeTimer;
+    steady_timer m_spaceTimer;
+    std::array<char, 8 * 1024> m_received {};
+    /// Received bytes that are not parsed yet.
     beast::flat_buffer m_buffer;
-    time_point m_readAt {};
-    /// The current request, while the connection is monitored for being closed by the caller.
-    std::shared_ptr<request_handler> m_watched;
+    size_t m_discardedBytes { 0 };
+    time_point m_receivedAt {};
+    /// When reading of the current request began.
+    time_point m_requestBeganAt {};
+    time_point m_lingerUntil {};
+    /// Null between two requests.
+    std::unique_ptr<request_reader> m_reader;
+    request_pipeline m_pipeline;
+    intake m_intake { intake::Requests };
+    bool m_isWriting { false };
+    bool m_hasCallerLeft { false };
 };
 
 } // namespace gypsumhub
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #include "gypsumhub/decision/selection/load_balancer.h"
 #include "gypsumhub/decision/selection/membership_view.h"
 #include "gypsumhub/decision/selection/registration_view.h"
+#include "gypsumhub/decision/selection/shutdown_schedule.h"
 #include "gypsumhub/decision/selection/weighted_round_robin.h"
 #include "gypsumhub/gateway/gateway_counters.h"
 #include "gypsumhub/gateway/json_logger.h"
@@ -70,10 +71,7 @@
     uint32_t heldRequests { 0 };
     /// Whether the target registrations have been listed at least once.
     bool hasTargetListing { false };
-    /// Whether the shutdown of the node has begun.
-    bool isStopping { false };
-    /// New requests are refused from then on, since the process would end before they do.
-    time_point refuseFrom { never };
+    shutdown_schedule shutdown;
 };
 
 } // namespace gypsumhub
--- a/gypsumhub/gateway/gateway_counters.cpp
+++ b/gypsumhub/gateway/gateway_counters.cpp
@@ -8,6 +8,7 @@
 
     constexpr auto rows = std::to_array<counter_row>({
         { "requests_total", "Requests read completely.", &gateway_counters::requests },
+        { "pipelined_total", "Requests read while an earlier one of their connection was not answered.", &gateway_counters::pipelined },
         { "answered_total", "Requests answered with a success of a target.", &gateway_counters::answered },
         { "target_failures_total", "Requests answered with a failure of a target.", &gateway_counters::targetFailures },
         { "refused_total", "Requests refused without having run.", &gateway_counters::refused },
--- a/gypsumhub/gateway/gateway_counters.h
+++ b/gypsumhub/gateway/gateway_counters.h
@@ -27,6 +27,7 @@
 /// Counters of a node since its start.
 struct gateway_counters {
     uint64_t requests { 0 };
+    uint64_t pipelined { 0 };
     uint64_t answered { 0 };
     uint64_t targetFailures { 0 };
     uint64_t refused { 0 };
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -21,10 +21,6 @@
     constexpr auto idleTick = milliseconds(250);
     constexpr auto helloInterval = milliseconds(400);
     constexpr auto sweepInterval = milliseconds(1000);
-    // The process ends this long before the limit of the shutdown, after which it would be killed.
-    constexpr auto shutdownMargin = milliseconds(400);
-    // New requests are refused this long before the end of the shutdown, since they would not complete in time.
-    constexpr auto refusalMargin = milliseconds(1300);
     constexpr auto acceptPause = milliseconds(20);
 
 } // namespace
@@ -78,6 +74,8 @@
     for (;;) {
         auto socket = tcp_socket(m_context.io.get_executor());
         auto [error] = co_await m_callers.async_accept(socket, useTask);
+        if (!m_callers.is_open())
+            co_return;
         if (error) {
             co_await sleepUntil(timer, bootClockNow() + acceptPause);
             continue;
@@ -126,7 +124,7 @@
 
 auto gateway_node::isReady() const -> bool
 {
-    return m_context.isInitialized() && !m_context.isStopping;
+    return m_context.isInitialized() && !m_context.shutdown.hasBegun();
 }
 
 auto gateway_node::answerPeerListing(std::string_view target) -> http_answer
@@ -150,8 +148,8 @@
 {
     auto now = bootClockNow();
     m_nextHello = now + helloInterval;
-    m_context.memberView.setOwnState(isReady(), m_context.isStopping);
-    auto hello = node_hello { m_context.settings.name, isReady(), m_context.isStopping, m_context.routes ? m_context.routes->version() : 0,
+    m_context.memberView.setOwnState(isReady(), m_context.shutdown.hasBegun());
+    auto hello = node_hello { m_context.settings.name, isReady(), m_context.shutdown.hasBegun(), m_context.routes ? m_context.routes->version() : 0,
         m_context.view.digest(), now - m_context.viewConfirmedAt, m_watcher.nodesDigest() };
     m_peers.send({ m_context.settings.name, hello }, m_context.memberView.recipients(now));
 }
@@ -185,7 +183,7 @@
     if (!query)
         return { 404 };
     auto& settings = m_context.settings;
-    m_context.memberView.setOwnState(isReady(), m_context.isStopping);
+    m_context.memberView.setOwnState(isReady(), m_context.shutdown.hasBegun());
     auto nodes = m_context.memberView.group(query->host, query->dataCentre, m_context.groupRequirement(), bootClockNow());
     if (nodes.empty())
         return { 503 };
@@ -212,18 +210,20 @@
 
 auto gateway_node::beginShutdown() -> void
 {
-    if (m_context.isStopping)
+    if (m_context.shutdown.hasBegun())
         return;
     auto now = bootClockNow();
-    auto end = now + m_context.settings.stopLimit - shutdownMargin;
-    m_context.isStopping = true;
-    m_context.refuseFrom = end - refusalMargin;
+    m_context.shutdown = shutdown_schedule(now, now + m_context.settings.stopLimit);
     m_context.log.write(log_class::Notable, "stopping", { { "open_requests", m_context.openRequests } });
     sendHello();
     m_watcher.unregister();
-    auto finish = [this, end]() -> task<> {
+    auto finish = [this]() -> task<> {
         auto timer = steady_timer(m_context.io.get_executor());
-        co_await sleepUntil(timer, end);
+        co_await sleepUntil(timer, m_context.shutdown.stopsReadingAt());
+        // Connections that are not accepted yet are reset: their requests count as not read.
+        auto ignored = error_code {};
+        m_callers.close(ignored);
+        co_await sleepUntil(timer, m_context.shutdown.endsAt());
         m_context.io.stop();
     };
     asio::co_spawn(m_context.io.get_executor(), std::move(finish), asio::detached);
--- a/gypsumhub/gateway/node_watcher.cpp
+++ b/gypsumhub/gateway/node_watcher.cpp
@@ -189,7 +189,7 @@
 auto node_watcher::keepRegistration() -> task<>
 {
     auto isRegistered = false;
-    while (!m_access.context().isStopping) {
+    while (!m_access.context().shutdown.hasBegun()) {
         if (m_lease == 0) {
             auto granted = co_await m_access.store().grantLease(std::max(leaseTtl, m_access.context().settings.shortestLease), bootClockNow() + storeCallTimeout);
             if (m_access.recordCall("lease", granted.status))
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -57,9 +57,15 @@
     , m_id(m_request[wire_names::requestId])
     , m_arrivedAt(arrivedAt)
     , m_deadline(arrivedAt)
-    , m_routes(context.routes)
     , m_isSampled(context.log.samples(m_id))
 {
+    findRoute();
+}
+
+auto request_handler::findRoute() -> void
+{
+    m_routes = m_context.routes;
+    m_route = m_routes ? m_routes->find(hostOf(m_request[http::field::host]), withoutQuery(m_request.target())) : nullptr;
 }
 
 auto request_handler::run() -> task<caller_reply>
@@ -68,11 +74,12 @@
     ++m_context.openRequests;
     auto reply = caller_reply {};
     co_await awaitStartup();
+    // The routes may have changed since the request was read.
+    if (m_routes != m_context.routes)
+        findRoute();
     if (!m_routes)
         reply = refuse("no_configuration", notReadyRetryAfter);
-    else if (bootClockNow() >= m_context.refuseFrom)
-        reply = refuse("stopping", minRetryAfter);
-    else if (m_route = m_routes->find(hostOf(m_request[http::field::host]), withoutQuery(m_request.target())); !m_route) {
+    else if (!m_route) {
         ++m_context.counters.noRoute;
         m_reason = "no_route";
         reply = makeReply(404);
@@ -93,7 +100,6 @@
     while (!m_context.isInitialized() && !m_callerLeft && bootClockNow() < until)
         co_await sleepUntil(timer, bootClockNow() + startupCheckInterval);
     --m_context.heldRequests;
-    m_routes = m_context.routes;
 }
 
 auto request_handler::readDeadline() -> void
@@ -106,13 +112,18 @@
         m_deadline = std::min(m_deadline, m_arrivedAt + milliseconds(std::min<int64_t>(left, 3'600'000)));
 }
 
+auto request_handler::targetDeadline() const -> time_point
+{
+    return std::min(m_deadline, m_context.shutdown.latestDeadline());
+}
+
 auto request_handler::makePlacementRequest() -> placement_request
 {
     auto expectedTime = scaled(m_context.balancer.model(m_dispatcher->service()).meanResponseTime(), responseTimeMargin);
     auto request = placement_request { m_route->priority, m_route->isRetryable, m_tried, m_arrivedAt, {}, {} };
     auto onTime = m_arrivedAt + m_route->latencyTarget - expectedTime;
     // A request that misses its latency target is still of use to the caller until the deadline.
-    request.expiresAt = std::min(std::max(onTime, m_arrivedAt + scaled(m_route->latencyTarget, acceptAnyShare)), m_deadline - minTimeLeft);
+    request.expiresAt = std::min(std::max(onTime, m_arrivedAt + scaled(m_route->latencyTarget, acceptAnyShare)), targetDeadline() - minTimeLeft);
     request.acceptAnyAt = m_arrivedAt + scaled(m_route->latencyTarget, acceptAnyShare);
     return request;
 }
@@ -120,6 +131,8 @@
 auto request_handler::serve() -> task<caller_reply>
 {
     readDeadline();
+    if (!m_context.shutdown.accepts(bootClockNow(), m_deadline))
+        co_return refuse("stopping", minRetryAfter);
     m_dispatcher = &m_context.dispatcher(m_context.roundRobinOf(*m_route).next());
     m_dispatcher->retryBudget().recordRequest(m_arrivedAt);
     m_body = std::make_shared<const std::string>(m_request.body());
@@ -143,8 +156,8 @@
         m_dispatcher->release(*placed.target);
         m_tried.push_back(placed.target->registration.id);
         auto isOver = ended == attempt_end::Final || m_callerLeft || (ended == attempt_end::Failed && !m_route->isRetryable)
-            || m_connectFailures >= maxConnectFailures || bootClockNow() + minTimeLeft >= m_deadline;
-        if (isOver)
+            || m_connectFailures >= maxConnectFailures || bootClockNow() + minTimeLeft >= targetDeadline();
+        if (isOver || !m_context.shutdown.accepts(bootClockNow(), m_deadline))
             co_return finalReply();
     }
 }
@@ -182,7 +195,7 @@
     auto connection = std::make_shared<target_http_connection>(m_context.io);
     m_connection = connection;
     ++m_context.counters.newConnections;
-    auto isOpen = co_await connection->connect(target.registration.address, std::min(m_deadline, now + connectTimeout));
+    auto isOpen = co_await connection->connect(target.registration.address, std::min(targetDeadline(), now + connectTimeout));
     m_connection.reset();
     if (isOpen)
         co_return connection;
@@ -203,17 +216,18 @@
     }
     auto now = bootClockNow();
     // The target may have started draining, or the caller may have disconnected, while the connection was opened.
-    if (target.isClosed || target.registration.isDraining || m_callerLeft || now + minTimeLeft >= m_deadline) {
+    auto isTooLate = now + minTimeLeft >= targetDeadline() || !m_context.shutdown.accepts(now, m_deadline);
+    if (target.isClosed || target.registration.isDraining || m_callerLeft || isTooLate) {
         m_context.connections.release(target.registration.id, connection);
         co_return attempt_end::NotSent;
     }
-    auto head = outbound_head(m_request).setTarget(target.registration.id).setTimeLeft(m_deadline - now - deadlineMargin).build();
+    auto head = outbound_head(m_request).setTarget(target.registration.id).setTimeLeft(targetDeadline() - now - deadlineMargin).build();
     auto request = outbound_request { std::move(head), m_body, m_id, m_request.method() == http::verb::head };
     ++m_sent;
     m_connection = connection;
     auto active = m_context.attempts.insert(m_context.attempts.end(),
         { used, now, false, [this] { handleStall(); } });
-    auto result = co_await connection->exchange(request, m_deadline);
+    auto result = co_await connection->exchange(request, targetDeadline());
     auto hadStalled = active->isStalled;
     m_context.attempts.erase(active);
     m_connection.reset();
@@ -284,7 +298,7 @@
 {
     // Another target can still run the request in time. The closed connection signals the cancellation to the stalled target.
     auto expectedTime = scaled(m_context.balancer.model(m_dispatcher->service()).meanResponseTime(), responseTimeMargin);
-    auto canRetry = m_route->isRetryable && m_sent < m_route->maxAttempts && bootClockNow() + expectedTime < m_deadline && !m_context.isStopping;
+    auto canRetry = m_route->isRetryable && m_sent < m_route->maxAttempts && bootClockNow() + expectedTime < m_deadline && !m_context.shutdown.hasBegun();
     if (!canRetry || !m_connection || !acquireRetry())
         return;
     m_hasRetry = true;
--- a/gypsumhub/gateway/request_handler.h
+++ b/gypsumhub/gateway/request_handler.h
@@ -21,6 +21,8 @@
     request_handler(gateway_context&, inbound_message, time_point arrivedAt);
 
     auto run() -> task<caller_reply>;
+    /// Whether the route of the request allows it to run more than once. False while the node has no routes.
+    auto isRetryable() const -> bool { return m_route && m_route->isRetryable; }
     /// Called when the caller has closed its connection. Ends the wait for a target and aborts an attempt that may be retried.
     auto handleCallerLeft() -> void;
 
@@ -38,8 +40,11 @@
 
     /// Holds the request for a limited time while the node starts and has no routes or targets yet.
     auto awaitStartup() -> task<>;
+    auto findRoute() -> void;
     /// Sets the deadline from the route's timeout and the time left that the caller's request states.
     auto readDeadline() -> void;
+    /// The deadline, or the latest one that a target may be given during a shutdown if that is earlier.
+    auto targetDeadline() const -> time_point;
     auto makePlacementRequest() -> placement_request;
     auto serve() -> task<caller_reply>;
     auto attempt(std::shared_ptr<target_state>) -> task<attempt_end>;
--- /dev/null
+++ b/unit_tests/decision/selection/shutdown_schedule_test.cpp
@@ -0,0 +1,52 @@
+#include "gypsumhub/decision/selection/shutdown_schedule.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace gypsumhub;
+
+namespace {
+
+auto at(int64_t ms) -> time_point
+{
+    return time_point {} + milliseconds(ms);
+}
+
+} // namespace
+
+TEST_CASE("without a shutdown every request is served with its own deadline")
+{
+    auto schedule = shutdown_schedule {};
+    CHECK_FALSE(schedule.hasBegun());
+    CHECK(schedule.accepts(at(1'000'000), at(2'000'000)));
+    CHECK((schedule.latestDeadline() == never));
+}
+
+TEST_CASE("stop in turn: requests keep arriving for the whole grace time, and each accepted one is answered before the end")
+{
+    // The time limit of 8 s exceeds the grace time of 6 s, and slow targets use all the time that they are given.
+    auto schedule = shutdown_schedule(at(0), at(6'000));
+    for (auto arrival = int64_t { 0 }; arrival < 6'000; arrival += 10) {
+        for (auto timeLimit : { 200, 1'500, 4'000, 8'000 }) {
+            if (!schedule.accepts(at(arrival), at(arrival + timeLimit)))
+                continue;
+            auto targetDeadline = std::min(at(arrival + timeLimit), schedule.latestDeadline());
+            CHECK((targetDeadline < schedule.endsAt()));
+            // A request that is not certain to end on its own leaves its target at least as long as most requests take.
+            if (at(arrival + timeLimit) > schedule.latestDeadline())
+                CHECK((targetDeadline - at(arrival) > milliseconds(2'500)));
+        }
+    }
+    CHECK(schedule.accepts(at(2'500), at(10'500)));
+    CHECK_FALSE(schedule.accepts(at(3'450), at(11'450)));
+    CHECK(schedule.accepts(at(3'450), at(4'500)));
+    CHECK_FALSE(schedule.accepts(schedule.stopsReadingAt(), at(5'600)));
+    CHECK((schedule.endsAt() < at(6'000)));
+}
+
+TEST_CASE("stop in turn with a long grace time: requests are served while their deadline lies before the end")
+{
+    auto schedule = shutdown_schedule(at(0), at(10'000));
+    CHECK(schedule.accepts(at(4'000), at(9'000)));
+    CHECK_FALSE(schedule.accepts(at(5'000), at(10'000)));
+}
--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -61,8 +61,10 @@
 /// A fake store, three registered fake targets, and two real gateway nodes on loopback.
 class gateway_fixture {
 public:
-    gateway_fixture()
+    /// `stopLimit` is the time from the signal to stop until the platform would kill the process.
+    explicit gateway_fixture(duration stopLimit = milliseconds(2'000))
         : store("127.0.0.1")
+        , m_stopLimit(stopLimit)
     {
         configure(1, "bookdesk");
         for (auto index = 0; index < 3; ++index) {
@@ -159,7 +161,7 @@
         settings.directoryAddress = addressOf(index, portOf(3));
         settings.peerAddress = addressOf(index, portOf(4));
         settings.storeAddress = { "127.0.0.1", store.port() };
-        settings.stopLimit = milliseconds(2'000);
+        settings.stopLimit = m_stopLimit;
         settings.logDescriptor = ::fileno(m_log);
         nodes.push_back(std::make_unique<gateway_node>(settings, "none.ini"));
         m_threads.emplace_back([node = nodes.back().get()] {
@@ -173,6 +175,7 @@
         });
     }
 
+    duration m_stopLimit;
     std::string m_logPath { "/tmp/gypsumhub_gateway_test." + std::to_string(::getpid()) + ".log" };
     std::FILE* m_log { std::fopen(m_logPath.c_str(), "w+") };
     std::vector<std::thread> m_threads;
