Gateway: a large configuration passes from node to node with bounded transfers

All nodes of a data centre listed from the first holder at the same moment, each call timed out after 400 ms (831 failures in the log), and all went to the store over the link between regions; some had the version only 3 s after its ack.

Change: transfer_limit bounds the large listings that a node sends at once by its link and turns the others away with 503; a node that lacks a configuration asks a random one of the active holders, and the store only after 1.5 s. A listing that a busy node refused is requested again instead of being read from the store.

Ruled out: a fixed tree (a stopped parent delays all below it); longer timeouts alone (the first holder's link is the bottleneck).

--- a/gypsumhub/decision/selection/membership_view.cpp
+++ b/gypsumhub/decision/selection/membership_view.cpp
@@ -224,6 +224,16 @@
     return nodes;
 }
 
+auto membership_view::configurationHolders(uint64_t version, time_point now) const -> std::vector<std::string>
+{
+    auto local = std::vector<std::string> {}, remote = std::vector<std::string> {};
+    for (auto& [name, other] : m_nodes) {
+        if (isActive(other, now) && other.hello.configurationVersion >= version)
+            (other.registration.dataCentre == m_own.dataCentre ? local : remote).push_back(name);
+    }
+    return local.empty() ? remote : local;
+}
+
 auto membership_view::find(std::string_view name) const -> const node_registration*
 {
     auto found = m_nodes.find(name);
--- a/gypsumhub/decision/selection/membership_view.h
+++ b/gypsumhub/decision/selection/membership_view.h
@@ -81,6 +81,9 @@
     auto setStoreDelay(duration delay) -> void { m_own.storeDelay = delay; }
     auto own() const -> const node_registration& { return m_own; }
 
+    /// Names of the active nodes that have a configuration of at least this version: those of the own data centre, or without any
+    /// those of other data centres.
+    auto configurationHolders(uint64_t version, time_point now) const -> std::vector<std::string>;
     auto find(std::string_view name) const -> const node_registration*;
     auto peers() const -> std::vector<node_registration>;
     /// Whether a node is registered with this peer address. Used to reject datagrams from unknown senders.
--- a/gypsumhub/gateway/configuration_watcher.cpp
+++ b/gypsumhub/gateway/configuration_watcher.cpp
@@ -4,11 +4,21 @@
 #include "gypsumhub/platform/configuration_document.h"
 #include "gypsumhub/platform/wire_names.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 namespace gypsumhub {
 
+namespace {
+
+    // Timeout of receiving a configuration from another node.
+    constexpr auto transferTimeout = milliseconds(1000);
+    // Many nodes that list a large configuration from the store at the same time delay each other, so other nodes come first.
+    constexpr auto storeFallbackDelay = milliseconds(1500);
+
+} // namespace
+
 configuration_watcher::configuration_watcher(store_access& access, std::function<void()> onProgress)
     : m_access(access)
     , m_onProgress(std::move(onProgress))
@@ -24,7 +34,7 @@
 {
     auto& routes = m_access.context().routes;
     if (routes && hello.configurationVersion > routes->version() && !m_isCatchingUp)
-        asio::co_spawn(m_access.context().io.get_executor(), catchUp(hello.name), asio::detached);
+        asio::co_spawn(m_access.context().io.get_executor(), catchUp(hello.name, hello.configurationVersion), asio::detached);
 }
 
 auto configuration_watcher::list() const -> std::optional<key_listing>
@@ -74,14 +84,36 @@
     }
 }
 
-auto configuration_watcher::catchUp(std::string from) -> task<>
+auto configuration_watcher::catchUp(std::string informant, uint64_t version) -> task<>
 {
     m_isCatchingUp = true;
-    auto listed = co_await m_access.listFrom(from, std::string(wire_names::configurationKey));
-    if (listed.status == keyspace_status::Ok)
-        applyListing(listed.value);
-    else
-        co_await m_access.backOff();
+    auto& context = m_access.context();
+    auto storeFallbackAt = bootClockNow() + storeFallbackDelay;
+    auto unreachable = std::vector<std::string> {};
+    while (context.routes->version() < version) {
+        auto now = bootClockNow();
+        auto sources = context.memberView.configurationHolders(version, now);
+        if (sources.empty())
+            sources.push_back(informant);
+        std::erase_if(sources, [&](auto& name) { return std::ranges::find(unreachable, name) != unreachable.end(); });
+        if (sources.empty() || now >= storeFallbackAt) {
+            auto revision = co_await read();
+            if (revision == 0)
+                co_await m_access.backOff();
+            break;
+        }
+        // A random holder: the others that lack the configuration ask at the same moment.
+        auto source = sources[context.random.below(sources.size())];
+        auto listed = co_await m_access.callPeer(source, std::string(wire_names::configurationKey), now + transferTimeout);
+        if (listed.status == keyspace_status::Ok) {
+            applyListing(listed.value);
+            break;
+        }
+        if (listed.status == keyspace_status::Refused)
+            co_await m_access.pause(busyPeerDelay);
+        else
+            unreachable.push_back(source);
+    }
     m_isCatchingUp = false;
 }
 
--- a/gypsumhub/gateway/configuration_watcher.h
+++ b/gypsumhub/gateway/configuration_watcher.h
@@ -23,8 +23,9 @@
     auto watch() -> task<>;
     /// Lists the configuration from the store. Returns the revision of the listing, or 0 when the call fails.
     auto read() -> task<uint64_t>;
-    /// Lists the configuration from the node `from`, or from the store when that node does not answer.
-    auto catchUp(std::string from) -> task<>;
+    /// Lists a configuration of at least `version` from nodes that have it, `informant` among them, or from the store when none of them
+    /// delivers it in time.
+    auto catchUp(std::string informant, uint64_t version) -> task<>;
     auto applyEntry(const store_entry&) -> void;
     auto applyListing(const key_listing&) -> void;
 
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -39,6 +39,7 @@
     , m_directory(m_context.io, [this](std::string_view target) { return answerDirectory(target); })
     , m_metrics(m_context.io, [this](std::string_view) { return http_answer { 200, "text/plain; version=0.0.4", formatGatewayMetrics(m_context, m_store.callCount()) }; })
     , m_peerLists(m_context.io, [this](std::string_view target) { return answerPeerListing(target); })
+    , m_transferLimit(m_context.settings.size.linkMegabits)
     , m_callers(m_context.io.get_executor())
     , m_signals(m_context.io, SIGTERM, SIGINT, SIGHUP)
 {
@@ -133,7 +134,10 @@
     auto listing = prefix ? m_watcher.listFor(*prefix) : std::nullopt;
     if (!listing)
         return { 404 };
-    return { 200, "application/json", formatListing(*listing) };
+    auto permission = m_transferLimit.acquire(listing->valueBytes());
+    if (!permission)
+        return { 503 };
+    return { 200, "application/json", formatListing(*listing), std::move(permission) };
 }
 
 auto gateway_node::peersInRegion() const -> std::vector<node_registration>
--- a/gypsumhub/gateway/gateway_node.h
+++ b/gypsumhub/gateway/gateway_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gypsumhub/decision/selection/transfer_limit.h"
 #include "gypsumhub/gateway/gateway_context.h"
 #include "gypsumhub/gateway/http_responder.h"
 #include "gypsumhub/gateway/peer_channel.h"
@@ -46,6 +47,7 @@
     http_responder m_directory;
     http_responder m_metrics;
     http_responder m_peerLists;
+    transfer_limit m_transferLimit;
     tcp_acceptor m_callers;
     asio::signal_set m_signals;
     time_point m_nextHello {};
--- a/gypsumhub/gateway/http_responder.h
+++ b/gypsumhub/gateway/http_responder.h
@@ -5,6 +5,7 @@
 #include "gypsumhub/core/fault.h"
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -15,6 +16,8 @@
     unsigned status { 200 };
     std::string contentType { "text/plain" };
     std::string body;
+    /// Released when the answer has been sent.
+    std::shared_ptr<void> held {};
 };
 
 /// A small HTTP server for GET requests whose answers are computed synchronously.
--- a/gypsumhub/gateway/store_access.cpp
+++ b/gypsumhub/gateway/store_access.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-    constexpr auto peerCallTimeout = milliseconds(400);
+    // A listing of 400 KB takes a third of a second over a link of 10 Mbit/s.
+    constexpr auto peerCallTimeout = milliseconds(800);
     // Registering and listing the nodes takes four round trips, to a store that may be in another region.
     constexpr auto firstNodesTimeout = milliseconds(600);
     // Allows for a chain of three nodes that list one after another. A node that starts alone does not wait.
@@ -64,8 +65,9 @@
             m_context.log.write(log_class::Notable, "listed_at_peer", { { "node", *source }, { "prefix", prefix }, { "entries", listed.value.entries.size() } });
             co_return std::move(listed.value);
         }
-        // A peer that is starting as well answers 404 (mapped to `LeaseExpired`) until it has the listing; a failed peer does not answer.
-        if (listed.status == keyspace_status::LeaseExpired)
+        // A peer that is starting as well answers 404 (mapped to `LeaseExpired`) until it has the listing, and one that is sending to
+        // too many others refuses; a failed peer does not answer.
+        if (listed.status == keyspace_status::LeaseExpired || listed.status == keyspace_status::Refused)
             co_await pause(startRetryDelay);
         else
             ++source;
@@ -85,9 +87,15 @@
 
 auto store_access::listFromPeer(std::string node, std::string prefix) -> task<std::optional<key_listing>>
 {
-    auto listed = co_await callPeer(node, prefix, bootClockNow() + peerCallTimeout);
-    if (listed.status == keyspace_status::Ok)
-        co_return std::move(listed.value);
+    auto deadline = bootClockNow() + peerCallTimeout;
+    for (auto mayRetry = true; mayRetry;) {
+        auto listed = co_await callPeer(node, prefix, deadline);
+        if (listed.status == keyspace_status::Ok)
+            co_return std::move(listed.value);
+        mayRetry = listed.status == keyspace_status::Refused && bootClockNow() + busyPeerDelay < deadline;
+        if (mayRetry)
+            co_await pause(busyPeerDelay);
+    }
     m_context.log.write(log_class::Notable, "peer_list_failed", { { "node", node }, { "prefix", prefix } });
     co_return std::nullopt;
 }
--- a/gypsumhub/gateway/store_access.h
+++ b/gypsumhub/gateway/store_access.h
@@ -29,14 +29,14 @@
     auto markNodesListed() -> void { m_hasNodeListing = true; }
     /// At startup, lists a prefix from a node of the data centre that already holds it. Returns nullopt when the store must be read.
     auto listAtStartup(std::string prefix) -> task<std::optional<key_listing>>;
+    /// Calls another node once. `Refused` means that the node is sending to too many others.
+    auto callPeer(std::string node, std::string prefix, time_point deadline) -> task<keyspace_result<key_listing>>;
     /// Lists a prefix from another node, or returns nullopt when the call fails.
     auto listFromPeer(std::string node, std::string prefix) -> task<std::optional<key_listing>>;
     /// Lists a prefix from another node, or from the store when that call fails.
     auto listFrom(std::string node, std::string prefix) -> task<keyspace_result<key_listing>>;
 
 private:
-    auto callPeer(std::string node, std::string prefix, time_point deadline) -> task<keyspace_result<key_listing>>;
-
     gateway_context& m_context;
     keyspace& m_store;
     bool m_isStoreLost { false };
@@ -47,6 +47,8 @@
 /// Joins the messages of all faults for a log line.
 auto joinMessages(const fault_list&) -> std::string;
 
+/// Pause before a listing is requested again from a node that was sending to too many others.
+constexpr auto busyPeerDelay = milliseconds(50);
 /// Timeout of calls that the store answers without waiting; watches have their own.
 constexpr auto storeCallTimeout = milliseconds(1500);
 /// Duration of a watch without changes. Each watch costs one call, so it is long; the store allows 30 s.
--- a/gypsumhub/store/keyspace.h
+++ b/gypsumhub/store/keyspace.h
@@ -22,6 +22,15 @@
 struct key_listing {
     std::vector<store_entry> entries;
     uint64_t revision { 0 };
+
+    /// Total size of the values.
+    auto valueBytes() const -> size_t
+    {
+        auto bytes = size_t { 0 };
+        for (auto& entry : entries)
+            bytes += entry.value.size();
+        return bytes;
+    }
 };
 
 /// The changes after a revision, and the revision to follow from next.
--- a/unit_tests/decision/selection/membership_view_test.cpp
+++ b/unit_tests/decision/selection/membership_view_test.cpp
@@ -203,3 +203,21 @@
     CHECK(memberView.isReader(at(5'000)));
     CHECK(memberView.watchesConfiguration(at(5'000)));
 }
+
+TEST_CASE("a node that lacks the newest configuration finds the active nodes of its data centre that have it")
+{
+    auto memberView = makeView("n1");
+    memberView.recordRegistration(makeNode("m1", "b1"));
+    auto tell = [&](const std::string& name, uint64_t version) {
+        auto hello = makeHello(name);
+        hello.configurationVersion = version;
+        memberView.recordHello(hello, at(0));
+    };
+    tell("m1", 7);
+    CHECK(memberView.configurationHolders(7, at(100)) == std::vector<std::string> { "m1" });
+    tell("n2", 6);
+    tell("n3", 8);
+    CHECK(memberView.configurationHolders(7, at(100)) == std::vector<std::string> { "n3" });
+    CHECK(memberView.configurationHolders(9, at(100)).empty());
+    CHECK(memberView.configurationHolders(7, at(5'000)).empty());
+}
