--- a/gypsumhub/gateway/gateway_counters.h
+++ b/gypsumhub/gateway/gateway_counters.h
@@ -4,7 +4,10 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <span>
+#include <string>
 
 namespace gypsumhub {
 
@@ -43,6 +46,9 @@
     uint64_t outcomesSent { 0 };
     uint64_t outcomesReceived { 0 };
     uint64_t storeFailures { 0 };
+    /// Calls by purpose: to the store, and listings requested from other nodes.
+    std::map<std::string, uint64_t, std::less<>> storeCalls;
+    std::map<std::string, uint64_t, std::less<>> peerListings;
     uint64_t badDatagrams { 0 };
     latency_histogram queueingDelay;
     latency_histogram responseTime;
--- a/gypsumhub/gateway/gateway_metrics.cpp
+++ b/gypsumhub/gateway/gateway_metrics.cpp
@@ -43,6 +43,10 @@
     for (auto& row : histograms)
         addHistogram(metrics, row, context.counters.*row.value);
     metrics.addCounter("store_calls_total", "Calls to the store.", static_cast<double>(storeCalls));
+    for (auto& [purpose, count] : context.counters.storeCalls)
+        metrics.addCounter("store_calls_by_purpose_total", "Calls to the store; a listing in several pages counts once.", static_cast<double>(count), { { "purpose", purpose } });
+    for (auto& [prefix, count] : context.counters.peerListings)
+        metrics.addCounter("peer_listings_total", "Listings requested from other nodes.", static_cast<double>(count), { { "prefix", prefix } });
     metrics.addCounter("log_lines_dropped_total", "Log lines dropped by the rate limit, by sampling or because the reader was too slow.", static_cast<double>(context.log.dropped()));
     metrics.addGauge("configuration_version", "Version of the configuration in force.", context.routes ? static_cast<double>(context.routes->version()) : 0);
     metrics.addGauge("registrations_age_seconds", "Time since the registrations were last known to match the store.", (bootClockNow() - context.viewConfirmedAt).seconds());
--- a/gypsumhub/gateway/store_access.cpp
+++ b/gypsumhub/gateway/store_access.cpp
@@ -35,6 +35,7 @@
 
 auto store_access::recordCall(std::string_view call, keyspace_status status) -> bool
 {
+    ++m_context.counters.storeCalls[std::string(call)];
     auto isAnswered = status != keyspace_status::Unanswered && status != keyspace_status::Refused;
     if (!isAnswered) {
         ++m_context.counters.storeFailures;
@@ -80,6 +81,7 @@
     auto* peer = m_context.memberView.find(node);
     if (!peer)
         co_return keyspace_result<key_listing> {};
+    ++m_context.counters.peerListings[prefix];
     auto client = kv_client(m_context.io, peer->peerAddress);
     auto listed = co_await client.list(std::move(prefix), deadline);
     co_return listed;
