Gateway: nodes exchange registrations by difference

Cause: a node whose digest differed from its reader's listed everything, 400 KB for 1,079 targets and 120 KB for 444 nodes. After a few lost datagrams a whole data centre did so at once; what did not arrive in time was read from the store in three pages a node.

Change: bucket_digests, 128 digests by key. The request carries those of the asking node, the answer lists only the buckets that differ, and only the entries in them are replaced. The cost of a difference grows with its size, not with the fleet.

Ruled out: changes since a revision (a node that lost one datagram and received later ones does not know which revision it has).

--- a/gypsumhub/decision/selection/registration_view.cpp
+++ b/gypsumhub/decision/selection/registration_view.cpp
@@ -3,6 +3,7 @@
 #include "gypsumhub/core/hash.h"
 
 #include <algorithm>
+#include <set>
 
 namespace gypsumhub {
 
@@ -64,7 +65,8 @@
     return change;
 }
 
-auto registration_view::replace(std::span<const target_registration> listed, uint64_t revision, view_source source, time_point now) -> std::vector<view_change>
+auto registration_view::replace(std::span<const target_registration> listed, uint64_t revision, view_source source, time_point now,
+    const bucket_digests::bucket_set& buckets) -> std::vector<view_change>
 {
     m_revision = std::max(m_revision, revision);
     auto changes = std::vector<view_change> {};
@@ -72,9 +74,12 @@
         if (auto change = put(entry))
             changes.push_back(std::move(*change));
     }
+    auto ids = std::set<std::string_view> {};
+    for (auto& entry : listed)
+        ids.insert(entry.id);
     auto missing = std::vector<std::string> {};
     for (auto& [id, entry] : m_entries) {
-        if (std::ranges::find(listed, id, &target_registration::id) == listed.end())
+        if (buckets[bucket_digests::bucketOf(id)] && !ids.contains(id))
             missing.push_back(id);
     }
     for (auto& id : missing) {
@@ -84,6 +89,14 @@
     return changes;
 }
 
+auto registration_view::digests() const -> bucket_digests
+{
+    auto digests = bucket_digests {};
+    for (auto& [id, entry] : m_entries)
+        digests.add(id, digestOf(entry));
+    return digests;
+}
+
 auto registration_view::recordStoreOutage(time_point now) -> void
 {
     m_holdRemovalsUntil = now + reregistrationTime;
--- a/gypsumhub/decision/selection/registration_view.h
+++ b/gypsumhub/decision/selection/registration_view.h
@@ -2,6 +2,7 @@
 
 #include "gypsumhub/config/target_registration.h"
 #include "gypsumhub/core/time_point.h"
+#include "gypsumhub/decision/selection/bucket_digests.h"
 
 #include <functional>
 #include <map>
@@ -37,8 +38,10 @@
     auto put(const target_registration&) -> std::optional<view_change>;
     /// Removes an entry at a revision. Returns the change unless the removal is held back or out of date.
     auto remove(std::string_view id, uint64_t revision, view_source, time_point now) -> std::optional<view_change>;
-    /// Replaces the view with a complete listing: entries that are not listed are removed, except those newer than `revision`.
-    auto replace(std::span<const target_registration>, uint64_t revision, view_source, time_point now) -> std::vector<view_change>;
+    /// Replaces the entries in `buckets` with a complete listing of them: entries that are not listed are removed, except those newer
+    /// than `revision`.
+    auto replace(std::span<const target_registration>, uint64_t revision, view_source, time_point now,
+        const bucket_digests::bucket_set& buckets = bucket_digests::bucket_set().set()) -> std::vector<view_change>;
     /// Records that a call to the store failed. Removals are held back for a while from `now` on.
     auto recordStoreOutage(time_point now) -> void;
     /// Applies and returns the removals whose hold has ended.
@@ -46,6 +49,8 @@
 
     /// Equal for two views that route alike, whatever the order of their changes.
     auto digest() const -> uint64_t { return m_digest; }
+    /// Digests of the entries by bucket, to find where two views differ.
+    auto digests() const -> bucket_digests;
     /// The newest revision seen.
     auto revision() const -> uint64_t { return m_revision; }
     auto entries() const -> const std::map<std::string, target_registration, std::less<>>& { return m_entries; }
--- a/gypsumhub/gateway/configuration_watcher.cpp
+++ b/gypsumhub/gateway/configuration_watcher.cpp
@@ -104,7 +104,7 @@
         }
         // A random holder: the others that lack the configuration ask at the same moment.
         auto source = sources[context.random.below(sources.size())];
-        auto listed = co_await m_access.callPeer(source, std::string(wire_names::configurationKey), now + transferTimeout);
+        auto listed = co_await m_access.callPeer(source, std::string(wire_names::configurationKey), {}, now + transferTimeout);
         if (listed.status == keyspace_status::Ok) {
             applyListing(listed.value);
             break;
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -130,8 +130,8 @@
 
 auto gateway_node::answerPeerListing(std::string_view target) -> http_answer
 {
-    auto prefix = readListingPrefix(target);
-    auto listing = prefix ? m_watcher.listFor(*prefix) : std::nullopt;
+    auto query = readListingQuery(target);
+    auto listing = query ? m_watcher.listFor(*query) : std::nullopt;
     if (!listing)
         return { 404 };
     auto permission = m_transferLimit.acquire(listing->valueBytes());
--- a/gypsumhub/gateway/node_watcher.cpp
+++ b/gypsumhub/gateway/node_watcher.cpp
@@ -85,11 +85,21 @@
     asio::co_spawn(m_access.context().io.get_executor(), catchUp(hello.name), asio::detached);
 }
 
-auto node_watcher::list() const -> key_listing
+auto node_watcher::bucketDigests() const -> bucket_digests
 {
-    auto listing = key_listing {};
+    auto digests = bucket_digests {};
     for (auto& [key, entry] : m_entries)
-        listing.entries.push_back(entry);
+        digests.add(key, digestOf(entry));
+    return digests;
+}
+
+auto node_watcher::list(const bucket_digests& known) const -> key_listing
+{
+    auto listing = key_listing { {}, 0, bucketDigests().differing(known) };
+    for (auto& [key, entry] : m_entries) {
+        if (listing.buckets[bucket_digests::bucketOf(key)])
+            listing.entries.push_back(entry);
+    }
     return listing;
 }
 
@@ -156,7 +166,7 @@
 auto node_watcher::catchUp(std::string from) -> task<>
 {
     m_isCatchingUp = true;
-    auto listed = co_await m_access.listFrom(from, std::string(prefix));
+    auto listed = co_await m_access.listFrom(from, std::string(prefix), bucketDigests());
     if (listed.status == keyspace_status::Ok)
         applyListing(listed.value);
     else
@@ -182,8 +192,10 @@
         removed.erase(entry.key);
         applyEntry(entry);
     }
-    for (auto& [key, entry] : removed)
-        remove(key);
+    for (auto& [key, entry] : removed) {
+        if (listing.buckets[bucket_digests::bucketOf(key)])
+            remove(key);
+    }
 }
 
 auto node_watcher::keepRegistration() -> task<>
--- a/gypsumhub/gateway/node_watcher.h
+++ b/gypsumhub/gateway/node_watcher.h
@@ -18,7 +18,8 @@
     auto unregister() -> void;
     /// Handles a hello of the node from which this one receives changes. Lists the registrations again on a persistent mismatch.
     auto handleReaderHello(const node_hello&) -> void;
-    auto list() const -> key_listing;
+    /// The registrations in the buckets that differ from `known`.
+    auto list(const bucket_digests& known) const -> key_listing;
     /// Equal for two nodes with the same registrations.
     auto digest() const -> uint64_t { return m_digest; }
 
@@ -36,6 +37,7 @@
     /// Writes this node's registration with a lease, and renews the lease until the shutdown.
     auto keepRegistration() -> task<>;
     auto applyEntry(const store_entry&) -> void;
+    auto bucketDigests() const -> bucket_digests;
     auto applyListing(const key_listing&) -> void;
     auto remove(const std::string& key) -> void;
 
--- a/gypsumhub/gateway/store_access.cpp
+++ b/gypsumhub/gateway/store_access.cpp
@@ -61,7 +61,7 @@
     auto limit = bootClockNow() + startListTimeout;
     auto sources = m_context.memberView.bootstrapSources();
     for (auto source = sources.begin(); source != sources.end() && bootClockNow() < limit;) {
-        auto listed = co_await callPeer(*source, prefix, bootClockNow() + startCallTimeout);
+        auto listed = co_await callPeer(*source, prefix, {}, bootClockNow() + startCallTimeout);
         if (listed.status == keyspace_status::Ok) {
             m_context.log.write(log_class::Notable, "listed_at_peer", { { "node", *source }, { "prefix", prefix }, { "entries", listed.value.entries.size() } });
             co_return std::move(listed.value);
@@ -76,22 +76,22 @@
     co_return std::nullopt;
 }
 
-auto store_access::callPeer(std::string node, std::string prefix, time_point deadline) -> task<keyspace_result<key_listing>>
+auto store_access::callPeer(std::string node, std::string prefix, bucket_digests known, time_point deadline) -> task<keyspace_result<key_listing>>
 {
     auto* peer = m_context.memberView.find(node);
     if (!peer)
         co_return keyspace_result<key_listing> {};
     ++m_context.counters.peerListings[prefix];
     auto client = kv_client(m_context.io, peer->peerAddress);
-    auto listed = co_await client.list(std::move(prefix), deadline);
+    auto listed = co_await client.listDifference(std::move(prefix), known, deadline);
     co_return listed;
 }
 
-auto store_access::listFromPeer(std::string node, std::string prefix) -> task<std::optional<key_listing>>
+auto store_access::listFromPeer(std::string node, std::string prefix, bucket_digests known) -> task<std::optional<key_listing>>
 {
     auto deadline = bootClockNow() + peerCallTimeout;
     for (auto mayRetry = true; mayRetry;) {
-        auto listed = co_await callPeer(node, prefix, deadline);
+        auto listed = co_await callPeer(node, prefix, known, deadline);
         if (listed.status == keyspace_status::Ok)
             co_return std::move(listed.value);
         mayRetry = listed.status == keyspace_status::Refused && bootClockNow() + busyPeerDelay < deadline;
@@ -102,9 +102,9 @@
     co_return std::nullopt;
 }
 
-auto store_access::listFrom(std::string node, std::string prefix) -> task<keyspace_result<key_listing>>
+auto store_access::listFrom(std::string node, std::string prefix, bucket_digests known) -> task<keyspace_result<key_listing>>
 {
-    auto received = co_await listFromPeer(std::move(node), prefix);
+    auto received = co_await listFromPeer(std::move(node), prefix, known);
     if (received)
         co_return keyspace_result<key_listing> { keyspace_status::Ok, std::move(*received) };
     auto listed = co_await m_store.list(prefix, bootClockNow() + storeCallTimeout);
--- a/gypsumhub/gateway/store_access.h
+++ b/gypsumhub/gateway/store_access.h
@@ -30,11 +30,11 @@
     /// At startup, lists a prefix from a node of the data centre that already holds it. Returns nullopt when the store must be read.
     auto listAtStartup(std::string prefix) -> task<std::optional<key_listing>>;
     /// Calls another node once. `Refused` means that the node is sending to too many others.
-    auto callPeer(std::string node, std::string prefix, time_point deadline) -> task<keyspace_result<key_listing>>;
-    /// Lists a prefix from another node, or returns nullopt when the call fails.
-    auto listFromPeer(std::string node, std::string prefix) -> task<std::optional<key_listing>>;
-    /// Lists a prefix from another node, or from the store when that call fails.
-    auto listFrom(std::string node, std::string prefix) -> task<keyspace_result<key_listing>>;
+    auto callPeer(std::string node, std::string prefix, bucket_digests known, time_point deadline) -> task<keyspace_result<key_listing>>;
+    /// Lists from another node the buckets of a prefix that differ from `known`, or returns nullopt when the call fails.
+    auto listFromPeer(std::string node, std::string prefix, bucket_digests known) -> task<std::optional<key_listing>>;
+    /// Lists as `listFromPeer`, or the whole prefix from the store when that call fails.
+    auto listFrom(std::string node, std::string prefix, bucket_digests known) -> task<keyspace_result<key_listing>>;
 
 private:
     gateway_context& m_context;
--- a/gypsumhub/gateway/store_watcher.cpp
+++ b/gypsumhub/gateway/store_watcher.cpp
@@ -30,14 +30,14 @@
     m_targets.handleReaderHello(hello);
 }
 
-auto store_watcher::listFor(std::string_view prefix) const -> std::optional<key_listing>
+auto store_watcher::listFor(const listing_query& query) const -> std::optional<key_listing>
 {
-    if (prefix == wire_names::configurationKey)
+    if (query.prefix == wire_names::configurationKey)
         return m_configuration.list();
-    if (prefix == node_watcher::prefix)
-        return m_nodes.list();
-    if (prefix == wire_names::targetPrefix)
-        return m_targets.list();
+    if (query.prefix == node_watcher::prefix)
+        return m_nodes.list(query.known);
+    if (query.prefix == wire_names::targetPrefix)
+        return m_targets.list(query.known);
     return std::nullopt;
 }
 
--- a/gypsumhub/gateway/store_watcher.h
+++ b/gypsumhub/gateway/store_watcher.h
@@ -3,6 +3,7 @@
 #include "gypsumhub/gateway/configuration_watcher.h"
 #include "gypsumhub/gateway/node_watcher.h"
 #include "gypsumhub/gateway/target_watcher.h"
+#include "gypsumhub/platform/kv_client.h"
 
 #include <optional>
 #include <string_view>
@@ -21,8 +22,8 @@
     /// Compares the versions and digests in a hello with this node's copies and lists what differs.
     auto handleHello(const node_hello&) -> void;
     auto tick() -> void { m_targets.tick(); }
-    /// This node's copy of the entries under a prefix, for other nodes. Returns nullopt for a prefix that it does not hold.
-    auto listFor(std::string_view prefix) const -> std::optional<key_listing>;
+    /// This node's copy of the entries that another node lacks. Returns nullopt for a prefix that this node does not hold.
+    auto listFor(const listing_query&) const -> std::optional<key_listing>;
     auto nodesDigest() const -> uint64_t { return m_nodes.digest(); }
 
 private:
--- a/gypsumhub/gateway/target_watcher.cpp
+++ b/gypsumhub/gateway/target_watcher.cpp
@@ -31,14 +31,16 @@
         m_needsListing = true;
 }
 
-auto target_watcher::list() const -> std::optional<key_listing>
+auto target_watcher::list(const bucket_digests& known) const -> std::optional<key_listing>
 {
     if (!m_access.context().hasTargetListing)
         return std::nullopt;
     auto& view = m_access.context().view;
-    auto listing = key_listing { {}, view.revision() };
-    for (auto& [id, target] : view.entries())
-        listing.entries.push_back(writeRegistrationDocument(target, bootClockNow()));
+    auto listing = key_listing { {}, view.revision(), view.digests().differing(known) };
+    for (auto& [id, target] : view.entries()) {
+        if (listing.buckets[bucket_digests::bucketOf(id)])
+            listing.entries.push_back(writeRegistrationDocument(target, bootClockNow()));
+    }
     return listing;
 }
 
@@ -73,7 +75,7 @@
     auto prefix = std::string(wire_names::targetPrefix);
     auto* reader = m_access.context().memberView.reader(bootClockNow());
     if (reader) {
-        auto received = co_await m_access.listFromPeer(reader->name, prefix);
+        auto received = co_await m_access.listFromPeer(reader->name, prefix, m_access.context().view.digests());
         if (received) {
             applyListing(*received, view_source::Node);
             co_return true;
@@ -97,7 +99,7 @@
     }
     m_needsListing = false;
     m_mismatch.clear();
-    auto changes = m_access.context().view.replace(targets, listing.revision, source, bootClockNow());
+    auto changes = m_access.context().view.replace(targets, listing.revision, source, bootClockNow(), listing.buckets);
     apply(changes);
     if (isRelay(bootClockNow()))
         m_listeners.broadcast(changes);
--- a/gypsumhub/gateway/target_watcher.h
+++ b/gypsumhub/gateway/target_watcher.h
@@ -30,8 +30,8 @@
     auto handleReaderHello(const node_hello&) -> void;
     /// Applies held-back removals that are due.
     auto tick() -> void;
-    /// This node's copy of the registrations, or nullopt before the first listing.
-    auto list() const -> std::optional<key_listing>;
+    /// This node's copy of the registrations in the buckets that differ from `known`, or nullopt before the first listing.
+    auto list(const bucket_digests& known) const -> std::optional<key_listing>;
 
 private:
     /// Watches the registrations in the store while this node is the reader, and lists them again when needed.
--- a/gypsumhub/platform/kv_client.cpp
+++ b/gypsumhub/platform/kv_client.cpp
@@ -19,6 +19,9 @@
     constexpr auto maxAnswerBytes = size_t { 4 * 1024 * 1024 };
     // Time beyond the wait of a watch for its answer to arrive.
     constexpr auto watchGrace = milliseconds(1500);
+    constexpr auto listPath = std::string_view { "/gypsumhub/kv-range?prefix=" };
+    // Only in requests between nodes.
+    constexpr auto digestsField = std::string_view { "&digests=" };
     constexpr auto watchPath = std::string_view { "/gypsumhub/kv-watch" };
     constexpr auto maxIdleTime = milliseconds(1000);
     constexpr auto maxIdleConnections = size_t { 3 };
@@ -151,11 +154,23 @@
 }
 
 auto kv_client::list(std::string prefix, time_point deadline) -> task<keyspace_result<key_listing>>
+{
+    auto listed = co_await listPages(std::string(listPath) + escapeQuery(prefix), deadline);
+    co_return listed;
+}
+
+auto kv_client::listDifference(std::string prefix, bucket_digests known, time_point deadline) -> task<keyspace_result<key_listing>>
+{
+    auto listed = co_await listPages(std::string(listPath) + escapeQuery(prefix) + std::string(digestsField) + known.toText(), deadline);
+    co_return listed;
+}
+
+auto kv_client::listPages(std::string firstPath, time_point deadline) -> task<keyspace_result<key_listing>>
 {
     auto result = keyspace_result<key_listing> { keyspace_status::Ok };
     auto after = std::string {};
     for (auto hasMore = true; hasMore;) {
-        auto path = "/gypsumhub/kv-range?prefix=" + escapeQuery(prefix);
+        auto path = firstPath;
         if (!after.empty())
             path += "&after=" + escapeQuery(after);
         auto page = co_await call(http::verb::get, std::move(path), {}, deadline);
@@ -170,6 +185,8 @@
         // Later pages may be newer. Watching from the revision of the first page delivers everything that changed since then.
         if (result.value.revision == 0)
             result.value.revision = numberAt(body, "store_revision");
+        if (auto buckets = parseBuckets(textAt(body, "buckets")))
+            result.value.buckets = *buckets;
         auto* more = body.if_contains("has_more");
         hasMore = more && more->is_bool() && more->as_bool() && !result.value.entries.empty();
         if (hasMore)
@@ -183,15 +200,20 @@
     auto items = json::array {};
     for (auto& entry : listing.entries)
         items.push_back(json::object { { "key", entry.key }, { "value", toBase64(entry.value) }, { "rev", entry.modRevision } });
-    return json::serialize(json::object { { "items", items }, { "has_more", false }, { "store_revision", listing.revision } });
+    return json::serialize(json::object { { "items", items }, { "has_more", false }, { "store_revision", listing.revision },
+        { "buckets", formatBuckets(listing.buckets) } });
 }
 
-auto readListingPrefix(std::string_view target) -> std::optional<std::string>
+auto readListingQuery(std::string_view target) -> std::optional<listing_query>
 {
-    constexpr auto start = std::string_view { "/gypsumhub/kv-range?prefix=" };
-    if (!target.starts_with(start))
+    if (!target.starts_with(listPath))
         return std::nullopt;
-    return std::string(target.substr(start.size()));
+    auto query = target.substr(listPath.size());
+    auto end = query.find(digestsField);
+    if (end == std::string_view::npos)
+        return listing_query { std::string(query), {} };
+    auto known = bucket_digests::parse(query.substr(end + digestsField.size()));
+    return known ? std::optional(listing_query { std::string(query.substr(0, end)), *known }) : std::nullopt;
 }
 
 auto kv_client::follow(std::string prefix, uint64_t revision, time_point waitUntil) -> task<keyspace_result<key_changes>>
--- a/gypsumhub/platform/kv_client.h
+++ b/gypsumhub/platform/kv_client.h
@@ -17,6 +17,8 @@
     ~kv_client() override;
 
     auto list(std::string prefix, time_point deadline) -> task<keyspace_result<key_listing>> override;
+    /// Lists from another node the entries under a prefix in the buckets that differ from the given digests.
+    auto listDifference(std::string prefix, bucket_digests known, time_point deadline) -> task<keyspace_result<key_listing>>;
     auto follow(std::string prefix, uint64_t revision, time_point waitUntil) -> task<keyspace_result<key_changes>> override;
     auto grantLease(duration ttl, time_point deadline) -> task<keyspace_result<uint64_t>> override;
     auto renewLease(uint64_t lease, time_point deadline) -> task<keyspace_status> override;
@@ -35,6 +37,7 @@
         boost::json::value body;
     };
 
+    auto listPages(std::string path, time_point deadline) -> task<keyspace_result<key_listing>>;
     auto call(http::verb, std::string path, std::string body, time_point deadline) -> task<reply>;
     auto acquireConnection() -> std::unique_ptr<connection>;
 
@@ -49,7 +52,14 @@
 /// Formats entries for another node in the format of the store, so that the same client reads both.
 auto formatListing(const key_listing&) -> std::string;
 
-/// Returns the prefix of a listing request, or nullopt for another request.
-auto readListingPrefix(std::string_view target) -> std::optional<std::string>;
+/// A request of another node for a listing.
+struct listing_query {
+    std::string prefix;
+    /// What the other node has. Only buckets that differ from it are listed.
+    bucket_digests known;
+};
+
+/// Parses a listing request, or returns nullopt for another request.
+auto readListingQuery(std::string_view target) -> std::optional<listing_query>;
 
 } // namespace gypsumhub
--- a/gypsumhub/store/keyspace.h
+++ b/gypsumhub/store/keyspace.h
@@ -3,6 +3,7 @@
 #include "gypsumhub/core/asio_types.h"
 #include "gypsumhub/core/fault.h"
 #include "gypsumhub/core/time_point.h"
+#include "gypsumhub/decision/selection/bucket_digests.h"
 #include "gypsumhub/store/store.h"
 
 #include <cstdint>
@@ -18,10 +19,12 @@
     bool isRemoval { false };
 };
 
-/// All entries under a prefix. The pages of a long listing are not a consistent snapshot, so changes after `revision` must be followed.
+/// All entries under a prefix, or those in some buckets of it. The pages of a long listing are not a consistent snapshot, so changes after `revision` must be followed.
 struct key_listing {
     std::vector<store_entry> entries;
     uint64_t revision { 0 };
+    /// The buckets of which all entries are listed.
+    bucket_digests::bucket_set buckets { bucket_digests::bucket_set().set() };
 
     /// Total size of the values.
     auto valueBytes() const -> size_t
--- a/unit_tests/decision/selection/registration_view_test.cpp
+++ b/unit_tests/decision/selection/registration_view_test.cpp
@@ -98,3 +98,27 @@
     view.remove("a", 5, view_source::Store, at(0));
     CHECK(view.digest() == registration_view {}.digest());
 }
+
+TEST_CASE("a listing of some buckets replaces only the entries in them")
+{
+    auto view = registration_view {}, reader = registration_view {};
+    for (auto index = 0; index < 300; ++index) {
+        view.put(makeEntry("i-" + std::to_string(index), 5));
+        reader.put(makeEntry("i-" + std::to_string(index), 5));
+    }
+    // Both datagrams, of a target that left and of one that joined, were lost.
+    reader.remove("i-7", 9, view_source::Store, at(0));
+    reader.put(makeEntry("i-new", 10));
+    auto buckets = reader.digests().differing(view.digests());
+    CHECK(buckets.count() <= 2);
+    auto listed = std::vector<target_registration> {};
+    for (auto& [id, entry] : reader.entries()) {
+        if (buckets[bucket_digests::bucketOf(id)])
+            listed.push_back(entry);
+    }
+    CHECK(listed.size() < 30);
+    auto changes = view.replace(listed, reader.revision(), view_source::Node, at(0), buckets);
+    CHECK(changes.size() == 2);
+    CHECK(view.digest() == reader.digest());
+    CHECK(view.entries().size() == 300);
+}
