Gateway: one reader of the store for all data centres, longer leases

Change: data centres are ordered by their distance from the store, in steps of 10 ms, then by name. The first node of each takes its changes from the first usable node of an earlier one, as those of distant regions did before. Leases run 24 s and are renewed every 8 s: another data centre's registrations only serve as a fallback in the directory, and the own one sees missing hellos within 1.3 s. A starting node waits 2 s for listings of its peers before it reads the store.

--- a/fakes/fake_gateway_target.cpp
+++ b/fakes/fake_gateway_target.cpp
@@ -113,7 +113,9 @@
         auto left = std::string(request["Deadline-Ms"]);
         auto limit = std::chrono::nanoseconds(left.empty() ? std::chrono::hours(1) : std::chrono::milliseconds(std::stol(left)));
         std::this_thread::sleep_for(std::min<std::chrono::nanoseconds>(serviceTime, limit));
-        auto answer = makeAnswer(serviceTime > limit ? 504 : behaviour == target_behaviour::Fails ? 500 : 200, id, m_id);
+        auto answer = makeAnswer(serviceTime > limit ? 504 : behaviour == target_behaviour::Fails ? 500
+                                                                                                  : 200,
+            id, m_id);
         if (behaviour == target_behaviour::AnswersOtherRequest)
             send(makeAnswer(200, "another", "another"));
         if (behaviour == target_behaviour::Drops || behaviour == target_behaviour::Cuts) {
--- a/gypsumhub/decision/selection/membership_view.cpp
+++ b/gypsumhub/decision/selection/membership_view.cpp
@@ -17,8 +17,8 @@
     static_assert(watch_timing::maxViewAge < readerViewAgeLimit, "a reader would lose its role whenever no registration changes for a second");
     // Registrations that arrive through a remote upstream are older by one hello interval.
     constexpr auto relayedReaderViewAgeLimit = milliseconds(1800);
-    // If another node reaches the store faster by this much, the store is in another region than this node.
-    constexpr auto minRemoteStoreDelay = milliseconds(10);
+    // Delays of calls to the store are compared in steps of this size: the store is in another region when it is a step further away.
+    constexpr auto storeDelayStep = milliseconds(10);
     // Within this time the first node of a data centre has listed the other nodes and sent its first hellos to them.
     constexpr auto startupGrace = milliseconds(2000);
     // Children in the bootstrap tree of a node whose link is no larger than the others': sending three listings of 60 KB over
@@ -26,7 +26,7 @@
     constexpr auto minBootstrapFanout = size_t { 3 };
     // Callers use no more addresses than this from one directory answer.
     constexpr auto maxGroupNodes = size_t { 64 };
-    // Number of nodes near the store to which the first node of a distant data centre sends hellos to receive changes from them.
+    // Number of nodes of other data centres to which the first node of a data centre sends hellos to receive changes from them.
     constexpr auto maxRemoteUpstreams = size_t { 2 };
 
 } // namespace
@@ -43,6 +43,36 @@
     auto& entry = m_nodes[registration.name];
     entry.registration = registration;
     entry.hello.name = registration.name;
+    m_dataCentreOrder.clear();
+}
+
+auto membership_view::setStoreDelay(duration delay) -> void
+{
+    m_own.storeDelay = delay;
+    m_dataCentreOrder.clear();
+}
+
+auto membership_view::dataCentreOrder() const -> const std::vector<std::string>&
+{
+    if (!m_dataCentreOrder.empty())
+        return m_dataCentreOrder;
+    // The shortest delay of a data centre is its least disturbed measurement.
+    auto steps = std::map<std::string_view, int64_t> {};
+    auto add = [&](const node_registration& node) {
+        auto step = node.storeDelay.ns / storeDelayStep.ns;
+        auto [known, isNew] = steps.try_emplace(node.dataCentre, step);
+        known->second = std::min(known->second, step);
+    };
+    add(m_own);
+    for (auto& [name, other] : m_nodes)
+        add(other.registration);
+    auto order = std::vector<std::pair<int64_t, std::string_view>> {};
+    for (auto& [dataCentre, step] : steps)
+        order.emplace_back(step, dataCentre);
+    std::ranges::sort(order);
+    for (auto& [step, dataCentre] : order)
+        m_dataCentreOrder.emplace_back(dataCentre);
+    return m_dataCentreOrder;
 }
 
 auto membership_view::recordUnregistration(std::string_view name, time_point now) -> void
@@ -51,8 +81,10 @@
     if (found == m_nodes.end())
         return;
     auto isLocal = found->second.registration.dataCentre == m_own.dataCentre;
-    if (!isLocal || !isAvailable(found->second, now))
+    if (!isLocal || !isAvailable(found->second, now)) {
         m_nodes.erase(found);
+        m_dataCentreOrder.clear();
+    }
 }
 
 auto membership_view::recordHello(const node_hello& hello, time_point now) -> void
@@ -120,14 +152,9 @@
     return other.hasHello && other.hello.isReady && !other.hello.isLeaving && now <= other.helloReceivedAt + helloTimeout;
 }
 
-auto membership_view::isCloserToStore(const node& other) const -> bool
-{
-    return other.registration.storeDelay + minRemoteStoreDelay < m_own.storeDelay;
-}
-
 auto membership_view::maxReaderViewAge() const -> duration
 {
-    return hasCloserNode() ? relayedReaderViewAgeLimit : readerViewAgeLimit;
+    return hasPrecedingDataCentre() ? relayedReaderViewAgeLimit : readerViewAgeLimit;
 }
 
 auto membership_view::isPrecedingReader(const node& other, duration maxViewAge, time_point now) const -> bool
@@ -183,10 +210,14 @@
 
 auto membership_view::remoteUpstream(time_point now) const -> const node_hello*
 {
-    for (auto& [name, other] : m_nodes) {
-        auto isLocal = other.registration.dataCentre == m_own.dataCentre;
-        if (!isLocal && isCloserToStore(other) && isActive(other, now) && other.hello.viewAge < readerViewAgeLimit)
-            return &other.hello;
+    auto isUsable = [&](const node& other) { return isActive(other, now) && other.hello.viewAge < readerViewAgeLimit; };
+    for (auto& dataCentre : dataCentreOrder()) {
+        if (dataCentre == m_own.dataCentre)
+            return nullptr;
+        // The first usable node of a data centre by name is its reader, which sends its changes on.
+        auto found = std::ranges::find_if(m_nodes, [&](auto& entry) { return entry.second.registration.dataCentre == dataCentre && isUsable(entry.second); });
+        if (found != m_nodes.end())
+            return &found->second.hello;
     }
     return nullptr;
 }
@@ -200,12 +231,7 @@
 auto membership_view::watchesConfiguration(time_point now) const -> bool
 {
     auto precedingReaders = std::ranges::count_if(m_nodes, [&, maxViewAge = maxReaderViewAge()](auto& entry) { return isPrecedingReader(entry.second, maxViewAge, now); });
-    return precedingReaders == 0 ? !remoteUpstream(now) : precedingReaders == 1 && !hasCloserNode();
-}
-
-auto membership_view::hasCloserNode() const -> bool
-{
-    return std::ranges::any_of(m_nodes, [&](auto& entry) { return isCloserToStore(entry.second); });
+    return precedingReaders == 0 ? !remoteUpstream(now) : precedingReaders == 1 && !hasPrecedingDataCentre();
 }
 
 auto membership_view::recipients(time_point now) const -> std::vector<node_registration>
@@ -215,7 +241,7 @@
     auto nodes = std::vector<node_registration> {};
     for (auto& [name, other] : m_nodes) {
         auto isLocal = other.registration.dataCentre == m_own.dataCentre;
-        auto isUpstream = !isLocal && isFirst && isCloserToStore(other) && upstreams < maxRemoteUpstreams;
+        auto isUpstream = isFirst && hasPrecedingDataCentre() && other.registration.dataCentre == dataCentreOrder().front() && upstreams < maxRemoteUpstreams;
         upstreams += isUpstream ? 1 : 0;
         auto hasRecentHello = !isLocal && other.hasHello && now <= other.helloReceivedAt + helloTimeout;
         if (isLocal || isUpstream || hasRecentHello)
--- a/gypsumhub/decision/selection/membership_view.h
+++ b/gypsumhub/decision/selection/membership_view.h
@@ -62,10 +62,10 @@
     /// Whether this node is the designated reader: it reads the store itself because no other node reads for it.
     auto isReader(time_point now) const -> bool { return reader(now) == nullptr; }
     /// The latest hello of the node from which this one receives changes: the first node of the data centre with a fresh view, or,
-    /// for that first node, an upstream node near the store, so that the link between regions carries each change once. Null when
-    /// there is none.
+    /// for that first node, an upstream node in a data centre that precedes this one in the distance from the store. So one node
+    /// of the fleet reads the store, however many data centres there are. Null when there is none.
     auto reader(time_point now) const -> const node_hello*;
-    /// Whether this node is the first of its data centre and receives changes from a node near the store.
+    /// Whether this node is the first of its data centre and receives changes from a node of another one.
     auto hasRemoteUpstream(time_point now) const -> bool { return !localReader(now) && remoteUpstream(now); }
     /// Whether this node watches the configuration in the store: the first two nodes of a data centre without an upstream do.
     auto watchesConfiguration(time_point now) const -> bool;
@@ -78,7 +78,7 @@
     /// Starts a grace period in which preceding nodes that have not sent a hello yet count as readers. Otherwise all starting
     /// nodes would read the store until the first hellos arrive.
     auto beginStartupGrace(time_point now) -> void;
-    auto setStoreDelay(duration delay) -> void { m_own.storeDelay = delay; }
+    auto setStoreDelay(duration) -> void;
     auto own() const -> const node_registration& { return m_own; }
 
     /// Names of the active nodes that have a configuration of at least this version: those of the own data centre, or without any
@@ -106,8 +106,10 @@
     auto maxReaderViewAge() const -> duration;
     /// Whether the node reads for this data centre and precedes this node in it, by name.
     auto isPrecedingReader(const node&, duration maxViewAge, time_point now) const -> bool;
-    auto isCloserToStore(const node&) const -> bool;
-    auto hasCloserNode() const -> bool;
+    /// The data centres with a registered node, by the distance from the store and then by name, the same on every node with the same
+    /// registrations.
+    auto dataCentreOrder() const -> const std::vector<std::string>&;
+    auto hasPrecedingDataCentre() const -> bool { return dataCentreOrder().front() != m_own.dataCentre; }
     auto localReader(time_point now) const -> const node_hello*;
     auto remoteUpstream(time_point now) const -> const node_hello*;
 
@@ -116,6 +118,8 @@
     bool m_isLeaving { false };
     time_point m_startupGraceUntil {};
     std::map<std::string, node, std::less<>> m_nodes;
+    /// Cached result of `dataCentreOrder`, cleared when a registration changes.
+    mutable std::vector<std::string> m_dataCentreOrder;
 };
 
 } // namespace gypsumhub
--- a/gypsumhub/gateway/node_watcher.cpp
+++ b/gypsumhub/gateway/node_watcher.cpp
@@ -25,8 +25,8 @@
     constexpr auto registrationCheckInterval = milliseconds(10);
     // Nodes of other data centres detect a failed node only when its lease has ended; those of its own data centre detect it
     // earlier by the missing hellos.
-    constexpr auto leaseTtl = seconds(8);
-    constexpr auto leaseRenewalInterval = milliseconds(2600);
+    constexpr auto leaseTtl = seconds(24);
+    constexpr auto leaseRenewalInterval = seconds(8);
 
     auto digestOf(const store_entry& entry) -> uint64_t
     {
--- a/gypsumhub/gateway/store_access.cpp
+++ b/gypsumhub/gateway/store_access.cpp
@@ -12,8 +12,8 @@
     constexpr auto peerCallTimeout = milliseconds(800);
     // Registering and listing the nodes takes four round trips, to a store that may be in another region.
     constexpr auto firstNodesTimeout = milliseconds(600);
-    // Allows for a chain of three nodes that list one after another. A node that starts alone does not wait.
-    constexpr auto startListTimeout = milliseconds(900);
+    // Allows for a chain of four slow nodes that list one after another. A node that starts alone does not wait.
+    constexpr auto startListTimeout = milliseconds(2000);
     constexpr auto startRetryDelay = milliseconds(30);
     // A configuration of 1,400 routes takes a quarter of a second over a link of 10 Mbit/s.
     constexpr auto startCallTimeout = milliseconds(700);
--- a/unit_tests/decision/selection/membership_view_test.cpp
+++ b/unit_tests/decision/selection/membership_view_test.cpp
@@ -221,3 +221,35 @@
     CHECK(memberView.configurationHolders(9, at(100)).empty());
     CHECK(memberView.configurationHolders(7, at(5'000)).empty());
 }
+
+TEST_CASE("one node of the fleet reads the store, however many data centres are near it, and another one when its hellos stop")
+{
+    auto nearby = [](const std::string& name, const std::string& dataCentre) {
+        auto node = makeNode(name, dataCentre);
+        node.storeDelay = milliseconds(dataCentre == "a1" ? 6 : 8);
+        return node;
+    };
+    auto nodes = std::vector<node_registration> { nearby("n1", "a1"), nearby("n2", "a1"), nearby("n3", "a2"), nearby("n4", "a2"), nearby("n5", "a3") };
+    auto readers = 0, watchers = 0;
+    for (auto& own : nodes) {
+        auto memberView = membership_view(own);
+        memberView.setOwnState(true, false);
+        for (auto& other : nodes) {
+            if (other.name == own.name)
+                continue;
+            memberView.recordRegistration(other);
+            memberView.recordHello(makeHello(other.name), at(0));
+        }
+        readers += memberView.isReader(at(100)) ? 1 : 0;
+        watchers += memberView.watchesConfiguration(at(100)) ? 1 : 0;
+        if (own.dataCentre != "a1") {
+            // The hellos of the reader stop: the first node of each data centre takes the next one near the store, then reads itself.
+            CHECK(memberView.reader(at(100)) != nullptr);
+            memberView.recordHello(makeHello("n2"), at(2'000));
+            CHECK(memberView.hasRemoteUpstream(at(2'000)));
+            CHECK(memberView.isReader(at(5'000)));
+        }
+    }
+    CHECK(readers == 1);
+    CHECK(watchers == 2);
+}
