--- a/gypsumhub/decision/selection/membership_view.cpp
+++ b/gypsumhub/decision/selection/membership_view.cpp
@@ -135,10 +135,15 @@
     if (candidates.empty())
         collect([](const node_registration&) { return true; });
     std::ranges::sort(candidates, {}, [](auto& entry) { return std::tuple(entry.isSmall, entry.rank); });
+    auto needed = required.size;
+    if (dataCentre == m_own.dataCentre) {
+        auto demanded = demandedSize(host, now);
+        needed = { std::max(needed.cores, demanded.cores), std::max(needed.linkMegabits, demanded.linkMegabits) };
+    }
     auto addresses = std::vector<endpoint> {};
     auto total = node_size {};
     for (auto& entry : candidates) {
-        auto isSufficient = addresses.size() >= required.nodes && total.covers(required.size);
+        auto isSufficient = addresses.size() >= required.nodes && total.covers(needed);
         if (isSufficient || addresses.size() == maxGroupNodes)
             break;
         addresses.push_back(entry.node->callerAddress);
@@ -147,6 +152,24 @@
     return addresses;
 }
 
+auto membership_view::demandedSize(std::string_view host, time_point now) const -> node_size
+{
+    auto total = node_size {};
+    auto add = [&](const std::vector<host_demand>& demands) {
+        for (auto& demand : demands) {
+            if (demand.host == host)
+                total += sizeFor(demand);
+        }
+    };
+    add(m_ownDemands);
+    for (auto& [name, other] : m_nodes) {
+        auto isRecent = other.hasHello && now <= other.helloReceivedAt + helloTimeout;
+        if (isRecent && other.registration.dataCentre == m_own.dataCentre)
+            add(other.hello.demands);
+    }
+    return total;
+}
+
 auto membership_view::isActive(const node& other, time_point now) const -> bool
 {
     return other.hasHello && other.hello.isReady && !other.hello.isLeaving && now <= other.helloReceivedAt + helloTimeout;
--- a/gypsumhub/decision/selection/membership_view.h
+++ b/gypsumhub/decision/selection/membership_view.h
@@ -3,6 +3,7 @@
 #include "gypsumhub/config/configuration.h"
 #include "gypsumhub/config/node_size.h"
 #include "gypsumhub/core/time_point.h"
+#include "gypsumhub/decision/selection/demand_meter.h"
 
 #include <cstdint>
 #include <map>
@@ -40,6 +41,8 @@
     duration viewAge;
     /// Digest of the node registrations that the node holds.
     uint64_t nodesDigest { 0 };
+    /// What the callers of each host ask of the node.
+    std::vector<host_demand> demands {};
 };
 
 /// The nodes of the fleet as seen by this node. Combines their registrations with the hellos received from them to choose the
@@ -54,10 +57,11 @@
     auto recordUnregistration(std::string_view name, time_point now) -> void;
     auto recordHello(const node_hello&, time_point now) -> void;
     auto setOwnState(bool isReady, bool isLeaving) -> void;
+    auto setOwnDemands(std::vector<host_demand> demands) -> void { m_ownDemands = std::move(demands); }
 
     /// Caller addresses of the nodes of a data centre that serve a host (rendezvous hashing), the same on every node with the same
     /// view. Falls back to the nodes of all data centres when none of that one is available. Nodes that reach the required size
-    /// alone precede smaller ones.
+    /// alone precede smaller ones. In the own data centre the measured load of the host can require more than that size.
     auto group(std::string_view host, std::string_view dataCentre, const group_requirement&, time_point now) const -> std::vector<endpoint>;
     /// Whether this node is the designated reader: it reads the store itself because no other node reads for it.
     auto isReader(time_point now) const -> bool { return reader(now) == nullptr; }
@@ -100,6 +104,8 @@
 
     /// Whether the node can serve callers: for a node of the own data centre `isActive`, for others their registration alone.
     auto isAvailable(const node&, time_point now) const -> bool;
+    /// The size of the nodes that the callers of a host need together, by the recent hellos of this data centre.
+    auto demandedSize(std::string_view host, time_point now) const -> node_size;
     /// Whether a recent hello of the node reports it as ready and not leaving.
     auto isActive(const node&, time_point now) const -> bool;
     /// Staleness bound: a node with an older view is not a reader for its data centre.
@@ -116,6 +122,7 @@
     node_registration m_own;
     bool m_isReady { false };
     bool m_isLeaving { false };
+    std::vector<host_demand> m_ownDemands;
     time_point m_startupGraceUntil {};
     std::map<std::string, node, std::less<>> m_nodes;
     /// Cached result of `dataCentreOrder`, cleared when a registration changes.
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -3,6 +3,7 @@
 #include "gypsumhub/config/gateway_settings.h"
 #include "gypsumhub/config/route_table.h"
 #include "gypsumhub/core/random_generator.h"
+#include "gypsumhub/decision/selection/demand_meter.h"
 #include "gypsumhub/decision/selection/load_balancer.h"
 #include "gypsumhub/decision/selection/membership_view.h"
 #include "gypsumhub/decision/selection/registration_view.h"
@@ -60,6 +61,7 @@
     /// When the view was last known to match the store.
     time_point viewConfirmedAt {};
     target_connection_pool connections;
+    demand_meter demand;
     std::list<active_attempt> attempts;
     std::map<std::string, std::unique_ptr<service_dispatcher>, std::less<>> dispatchers;
     std::map<std::string, weighted_round_robin, std::less<>> roundRobins;
--- a/gypsumhub/gateway/node_datagram.capnp
+++ b/gypsumhub/gateway/node_datagram.capnp
@@ -21,6 +21,14 @@
   viewDigest @3 :UInt64;
   viewAgeMs @4 :UInt32;
   nodesDigest @5 :UInt64;
+  demands @6 :List(HostDemand);
+}
+
+# The load that the callers of one host put on the node.
+struct HostDemand {
+  host @0 :Text;
+  requestsPerSecond @1 :Float32;
+  megabitsPerSecond @2 :Float32;
 }
 
 # The outcome of a request, when it reports something new about the target.
--- a/gypsumhub/gateway/node_datagram.capnp.h
+++ b/gypsumhub/gateway/node_datagram.capnp.h
@@ -10,1407 +10,1368 @@
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
 namespace schemas {
 
-    CAPNP_DECLARE_SCHEMA(a0229ac3b019f7b7);
-    CAPNP_DECLARE_SCHEMA(fd6dd7a62b49c67d);
-    CAPNP_DECLARE_SCHEMA(b804ef78b366b34e);
-    CAPNP_DECLARE_SCHEMA(cbe1217adb1e078a);
+CAPNP_DECLARE_SCHEMA(a0229ac3b019f7b7);
+CAPNP_DECLARE_SCHEMA(fd6dd7a62b49c67d);
+CAPNP_DECLARE_SCHEMA(e28de4c85357ce45);
+CAPNP_DECLARE_SCHEMA(b804ef78b366b34e);
+CAPNP_DECLARE_SCHEMA(cbe1217adb1e078a);
 
-} // namespace schemas
-} // namespace capnp
+}  // namespace schemas
+}  // namespace capnp
 
 namespace gypsumhub {
 namespace wire {
 
-    struct NodeDatagram {
-        NodeDatagram() = delete;
-
-        class Reader;
-        class Builder;
-        class Pipeline;
-        enum Which : uint16_t {
-            HELLO,
-            OUTCOMES,
-            REGISTRATIONS,
-        };
+struct NodeDatagram {
+  NodeDatagram() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    HELLO,
+    OUTCOMES,
+    REGISTRATIONS,
+  };
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a0229ac3b019f7b7, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct NodeHello {
+  NodeHello() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fd6dd7a62b49c67d, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HostDemand {
+  HostDemand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e28de4c85357ce45, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TargetOutcome {
+  TargetOutcome() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b804ef78b366b34e, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TargetChange {
+  TargetChange() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cbe1217adb1e078a, 4, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+// =======================================================================================
+
+class NodeDatagram::Reader {
+public:
+  typedef NodeDatagram Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-        struct _capnpPrivate {
-            CAPNP_DECLARE_STRUCT_HEADER(a0229ac3b019f7b7, 1, 2)
-#if !CAPNP_LITE
-            static constexpr ::capnp::_::RawBrandedSchema const* brand()
-            {
-                return &schema->defaultBrand;
-            }
-#endif // !CAPNP_LITE
-        };
-    };
-
-    struct NodeHello {
-        NodeHello() = delete;
-
-        class Reader;
-        class Builder;
-        class Pipeline;
-
-        struct _capnpPrivate {
-            CAPNP_DECLARE_STRUCT_HEADER(fd6dd7a62b49c67d, 4, 0)
 #if !CAPNP_LITE
-            static constexpr ::capnp::_::RawBrandedSchema const* brand()
-            {
-                return &schema->defaultBrand;
-            }
-#endif // !CAPNP_LITE
-        };
-    };
-
-    struct TargetOutcome {
-        TargetOutcome() = delete;
-
-        class Reader;
-        class Builder;
-        class Pipeline;
-
-        struct _capnpPrivate {
-            CAPNP_DECLARE_STRUCT_HEADER(b804ef78b366b34e, 2, 1)
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool hasSender() const;
+  inline  ::capnp::Text::Reader getSender() const;
+
+  inline bool isHello() const;
+  inline bool hasHello() const;
+  inline  ::gypsumhub::wire::NodeHello::Reader getHello() const;
+
+  inline bool isOutcomes() const;
+  inline bool hasOutcomes() const;
+  inline  ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>::Reader getOutcomes() const;
+
+  inline bool isRegistrations() const;
+  inline bool hasRegistrations() const;
+  inline  ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>::Reader getRegistrations() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NodeDatagram::Builder {
+public:
+  typedef NodeDatagram Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-            static constexpr ::capnp::_::RawBrandedSchema const* brand()
-            {
-                return &schema->defaultBrand;
-            }
-#endif // !CAPNP_LITE
-        };
-    };
-
-    struct TargetChange {
-        TargetChange() = delete;
-
-        class Reader;
-        class Builder;
-        class Pipeline;
-
-        struct _capnpPrivate {
-            CAPNP_DECLARE_STRUCT_HEADER(cbe1217adb1e078a, 4, 4)
-#if !CAPNP_LITE
-            static constexpr ::capnp::_::RawBrandedSchema const* brand()
-            {
-                return &schema->defaultBrand;
-            }
-#endif // !CAPNP_LITE
-        };
-    };
-
-    // =======================================================================================
-
-    class NodeDatagram::Reader {
-    public:
-        typedef NodeDatagram Reads;
-
-        Reader() = default;
-        inline explicit Reader(::capnp::_::StructReader base)
-            : _reader(base)
-        {
-        }
-
-        inline ::capnp::MessageSize totalSize() const
-        {
-            return _reader.totalSize().asPublic();
-        }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool hasSender();
+  inline  ::capnp::Text::Builder getSender();
+  inline void setSender( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSender(unsigned int size);
+  inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSender();
+
+  inline bool isHello();
+  inline bool hasHello();
+  inline  ::gypsumhub::wire::NodeHello::Builder getHello();
+  inline void setHello( ::gypsumhub::wire::NodeHello::Reader value);
+  inline  ::gypsumhub::wire::NodeHello::Builder initHello();
+  inline void adoptHello(::capnp::Orphan< ::gypsumhub::wire::NodeHello>&& value);
+  inline ::capnp::Orphan< ::gypsumhub::wire::NodeHello> disownHello();
+
+  inline bool isOutcomes();
+  inline bool hasOutcomes();
+  inline  ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>::Builder getOutcomes();
+  inline void setOutcomes( ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>::Builder initOutcomes(unsigned int size);
+  inline void adoptOutcomes(::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>> disownOutcomes();
+
+  inline bool isRegistrations();
+  inline bool hasRegistrations();
+  inline  ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>::Builder getRegistrations();
+  inline void setRegistrations( ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>::Builder initRegistrations(unsigned int size);
+  inline void adoptRegistrations(::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>> disownRegistrations();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
 #if !CAPNP_LITE
-        inline ::kj::StringTree toString() const
-        {
-            return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-        }
-#endif // !CAPNP_LITE
-
-        inline Which which() const;
-        inline bool hasSender() const;
-        inline ::capnp::Text::Reader getSender() const;
-
-        inline bool isHello() const;
-        inline bool hasHello() const;
-        inline ::gypsumhub::wire::NodeHello::Reader getHello() const;
-
-        inline bool isOutcomes() const;
-        inline bool hasOutcomes() const;
-        inline ::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>::Reader getOutcomes() const;
-
-        inline bool isRegistrations() const;
-        inline bool hasRegistrations() const;
-        inline ::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>::Reader getRegistrations() const;
-
-    private:
-        ::capnp::_::StructReader _reader;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::ToDynamic_;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::_::PointerHelpers;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::List;
-        friend class ::capnp::MessageBuilder;
-        friend class ::capnp::Orphanage;
-    };
-
-    class NodeDatagram::Builder {
-    public:
-        typedef NodeDatagram Builds;
-
-        Builder() = delete; // Deleted to discourage incorrect usage.
-                            // You can explicitly initialize to nullptr instead.
-        inline Builder(decltype(nullptr)) { }
-        inline explicit Builder(::capnp::_::StructBuilder base)
-            : _builder(base)
-        {
-        }
-        inline operator Reader() const { return Reader(_builder.asReader()); }
-        inline Reader asReader() const { return *this; }
-
-        inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-        inline ::kj::StringTree toString() const
-        {
-            return asReader().toString();
-        }
-#endif // !CAPNP_LITE
-
-        inline Which which();
-        inline bool hasSender();
-        inline ::capnp::Text::Builder getSender();
-        inline void setSender(::capnp::Text::Reader value);
-        inline ::capnp::Text::Builder initSender(unsigned int size);
-        inline void adoptSender(::capnp::Orphan<::capnp::Text>&& value);
-        inline ::capnp::Orphan<::capnp::Text> disownSender();
-
-        inline bool isHello();
-        inline bool hasHello();
-        inline ::gypsumhub::wire::NodeHello::Builder getHello();
-        inline void setHello(::gypsumhub::wire::NodeHello::Reader value);
-        inline ::gypsumhub::wire::NodeHello::Builder initHello();
-        inline void adoptHello(::capnp::Orphan<::gypsumhub::wire::NodeHello>&& value);
-        inline ::capnp::Orphan<::gypsumhub::wire::NodeHello> disownHello();
-
-        inline bool isOutcomes();
-        inline bool hasOutcomes();
-        inline ::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>::Builder getOutcomes();
-        inline void setOutcomes(::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>::Reader value);
-        inline ::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>::Builder initOutcomes(unsigned int size);
-        inline void adoptOutcomes(::capnp::Orphan<::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>>&& value);
-        inline ::capnp::Orphan<::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>> disownOutcomes();
-
-        inline bool isRegistrations();
-        inline bool hasRegistrations();
-        inline ::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>::Builder getRegistrations();
-        inline void setRegistrations(::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>::Reader value);
-        inline ::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>::Builder initRegistrations(unsigned int size);
-        inline void adoptRegistrations(::capnp::Orphan<::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>>&& value);
-        inline ::capnp::Orphan<::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>> disownRegistrations();
-
-    private:
-        ::capnp::_::StructBuilder _builder;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::ToDynamic_;
-        friend class ::capnp::Orphanage;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::_::PointerHelpers;
-    };
+class NodeDatagram::Pipeline {
+public:
+  typedef NodeDatagram Pipelines;
 
-#if !CAPNP_LITE
-    class NodeDatagram::Pipeline {
-    public:
-        typedef NodeDatagram Pipelines;
-
-        inline Pipeline(decltype(nullptr))
-            : _typeless(nullptr)
-        {
-        }
-        inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-            : _typeless(kj::mv(typeless))
-        {
-        }
-
-    private:
-        ::capnp::AnyPointer::Pipeline _typeless;
-        friend class ::capnp::PipelineHook;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::ToDynamic_;
-    };
-#endif // !CAPNP_LITE
-
-    class NodeHello::Reader {
-    public:
-        typedef NodeHello Reads;
-
-        Reader() = default;
-        inline explicit Reader(::capnp::_::StructReader base)
-            : _reader(base)
-        {
-        }
-
-        inline ::capnp::MessageSize totalSize() const
-        {
-            return _reader.totalSize().asPublic();
-        }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class NodeHello::Reader {
+public:
+  typedef NodeHello Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-        inline ::kj::StringTree toString() const
-        {
-            return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-        }
-#endif // !CAPNP_LITE
-
-        inline bool getIsReady() const;
-
-        inline bool getIsLeaving() const;
-
-        inline ::uint64_t getConfigurationVersion() const;
-
-        inline ::uint64_t getViewDigest() const;
-
-        inline ::uint32_t getViewAgeMs() const;
-
-        inline ::uint64_t getNodesDigest() const;
-
-    private:
-        ::capnp::_::StructReader _reader;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::ToDynamic_;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::_::PointerHelpers;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::List;
-        friend class ::capnp::MessageBuilder;
-        friend class ::capnp::Orphanage;
-    };
-
-    class NodeHello::Builder {
-    public:
-        typedef NodeHello Builds;
-
-        Builder() = delete; // Deleted to discourage incorrect usage.
-                            // You can explicitly initialize to nullptr instead.
-        inline Builder(decltype(nullptr)) { }
-        inline explicit Builder(::capnp::_::StructBuilder base)
-            : _builder(base)
-        {
-        }
-        inline operator Reader() const { return Reader(_builder.asReader()); }
-        inline Reader asReader() const { return *this; }
-
-        inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsReady() const;
+
+  inline bool getIsLeaving() const;
+
+  inline  ::uint64_t getConfigurationVersion() const;
+
+  inline  ::uint64_t getViewDigest() const;
+
+  inline  ::uint32_t getViewAgeMs() const;
+
+  inline  ::uint64_t getNodesDigest() const;
+
+  inline bool hasDemands() const;
+  inline  ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NodeHello::Builder {
+public:
+  typedef NodeHello Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-        inline ::kj::StringTree toString() const
-        {
-            return asReader().toString();
-        }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsReady();
+  inline void setIsReady(bool value);
 
-        inline bool getIsReady();
-        inline void setIsReady(bool value);
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
 
-        inline bool getIsLeaving();
-        inline void setIsLeaving(bool value);
+  inline  ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion( ::uint64_t value);
 
-        inline ::uint64_t getConfigurationVersion();
-        inline void setConfigurationVersion(::uint64_t value);
+  inline  ::uint64_t getViewDigest();
+  inline void setViewDigest( ::uint64_t value);
 
-        inline ::uint64_t getViewDigest();
-        inline void setViewDigest(::uint64_t value);
+  inline  ::uint32_t getViewAgeMs();
+  inline void setViewAgeMs( ::uint32_t value);
 
-        inline ::uint32_t getViewAgeMs();
-        inline void setViewAgeMs(::uint32_t value);
+  inline  ::uint64_t getNodesDigest();
+  inline void setNodesDigest( ::uint64_t value);
 
-        inline ::uint64_t getNodesDigest();
-        inline void setNodesDigest(::uint64_t value);
+  inline bool hasDemands();
+  inline  ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>::Builder getDemands();
+  inline void setDemands( ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
+  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>> disownDemands();
 
-    private:
-        ::capnp::_::StructBuilder _builder;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::ToDynamic_;
-        friend class ::capnp::Orphanage;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::_::PointerHelpers;
-    };
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
 #if !CAPNP_LITE
-    class NodeHello::Pipeline {
-    public:
-        typedef NodeHello Pipelines;
-
-        inline Pipeline(decltype(nullptr))
-            : _typeless(nullptr)
-        {
-        }
-        inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-            : _typeless(kj::mv(typeless))
-        {
-        }
-
-    private:
-        ::capnp::AnyPointer::Pipeline _typeless;
-        friend class ::capnp::PipelineHook;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::ToDynamic_;
-    };
-#endif // !CAPNP_LITE
-
-    class TargetOutcome::Reader {
-    public:
-        typedef TargetOutcome Reads;
-
-        Reader() = default;
-        inline explicit Reader(::capnp::_::StructReader base)
-            : _reader(base)
-        {
-        }
-
-        inline ::capnp::MessageSize totalSize() const
-        {
-            return _reader.totalSize().asPublic();
-        }
+class NodeHello::Pipeline {
+public:
+  typedef NodeHello Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HostDemand::Reader {
+public:
+  typedef HostDemand Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-        inline ::kj::StringTree toString() const
-        {
-            return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-        }
-#endif // !CAPNP_LITE
-
-        inline bool hasTarget() const;
-        inline ::capnp::Text::Reader getTarget() const;
-
-        inline ::uint64_t getIncarnation() const;
-
-        inline bool getFailed() const;
-
-        inline ::uint32_t getSentBeforeMs() const;
-
-    private:
-        ::capnp::_::StructReader _reader;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::ToDynamic_;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::_::PointerHelpers;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::List;
-        friend class ::capnp::MessageBuilder;
-        friend class ::capnp::Orphanage;
-    };
-
-    class TargetOutcome::Builder {
-    public:
-        typedef TargetOutcome Builds;
-
-        Builder() = delete; // Deleted to discourage incorrect usage.
-                            // You can explicitly initialize to nullptr instead.
-        inline Builder(decltype(nullptr)) { }
-        inline explicit Builder(::capnp::_::StructBuilder base)
-            : _builder(base)
-        {
-        }
-        inline operator Reader() const { return Reader(_builder.asReader()); }
-        inline Reader asReader() const { return *this; }
-
-        inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
+
+  inline float getRequestsPerSecond() const;
+
+  inline float getMegabitsPerSecond() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HostDemand::Builder {
+public:
+  typedef HostDemand Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-        inline ::kj::StringTree toString() const
-        {
-            return asReader().toString();
-        }
-#endif // !CAPNP_LITE
-
-        inline bool hasTarget();
-        inline ::capnp::Text::Builder getTarget();
-        inline void setTarget(::capnp::Text::Reader value);
-        inline ::capnp::Text::Builder initTarget(unsigned int size);
-        inline void adoptTarget(::capnp::Orphan<::capnp::Text>&& value);
-        inline ::capnp::Orphan<::capnp::Text> disownTarget();
-
-        inline ::uint64_t getIncarnation();
-        inline void setIncarnation(::uint64_t value);
-
-        inline bool getFailed();
-        inline void setFailed(bool value);
-
-        inline ::uint32_t getSentBeforeMs();
-        inline void setSentBeforeMs(::uint32_t value);
-
-    private:
-        ::capnp::_::StructBuilder _builder;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::ToDynamic_;
-        friend class ::capnp::Orphanage;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::_::PointerHelpers;
-    };
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline float getRequestsPerSecond();
+  inline void setRequestsPerSecond(float value);
+
+  inline float getMegabitsPerSecond();
+  inline void setMegabitsPerSecond(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
 #if !CAPNP_LITE
-    class TargetOutcome::Pipeline {
-    public:
-        typedef TargetOutcome Pipelines;
-
-        inline Pipeline(decltype(nullptr))
-            : _typeless(nullptr)
-        {
-        }
-        inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-            : _typeless(kj::mv(typeless))
-        {
-        }
-
-    private:
-        ::capnp::AnyPointer::Pipeline _typeless;
-        friend class ::capnp::PipelineHook;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::ToDynamic_;
-    };
-#endif // !CAPNP_LITE
-
-    class TargetChange::Reader {
-    public:
-        typedef TargetChange Reads;
-
-        Reader() = default;
-        inline explicit Reader(::capnp::_::StructReader base)
-            : _reader(base)
-        {
-        }
-
-        inline ::capnp::MessageSize totalSize() const
-        {
-            return _reader.totalSize().asPublic();
-        }
+class HostDemand::Pipeline {
+public:
+  typedef HostDemand Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TargetOutcome::Reader {
+public:
+  typedef TargetOutcome Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool getFailed() const;
+
+  inline  ::uint32_t getSentBeforeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TargetOutcome::Builder {
+public:
+  typedef TargetOutcome Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-        inline ::kj::StringTree toString() const
-        {
-            return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-        }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool getFailed();
+  inline void setFailed(bool value);
+
+  inline  ::uint32_t getSentBeforeMs();
+  inline void setSentBeforeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-        inline bool hasTarget() const;
-        inline ::capnp::Text::Reader getTarget() const;
+#if !CAPNP_LITE
+class TargetOutcome::Pipeline {
+public:
+  typedef TargetOutcome Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TargetChange::Reader {
+public:
+  typedef TargetChange Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-        inline bool getRemoved() const;
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-        inline bool hasService() const;
-        inline ::capnp::Text::Reader getService() const;
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline bool getRemoved() const;
 
-        inline bool hasAddress() const;
-        inline ::capnp::Text::Reader getAddress() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-        inline ::uint16_t getPort() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
-        inline bool hasDataCentre() const;
-        inline ::capnp::Text::Reader getDataCentre() const;
+  inline  ::uint16_t getPort() const;
 
-        inline ::uint32_t getSlots() const;
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
 
-        inline bool getDraining() const;
+  inline  ::uint32_t getSlots() const;
 
-        inline ::uint32_t getWarmInMs() const;
+  inline bool getDraining() const;
 
-        inline ::uint64_t getIncarnation() const;
+  inline  ::uint32_t getWarmInMs() const;
 
-        inline ::uint64_t getRevision() const;
+  inline  ::uint64_t getIncarnation() const;
 
-    private:
-        ::capnp::_::StructReader _reader;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::ToDynamic_;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::_::PointerHelpers;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::List;
-        friend class ::capnp::MessageBuilder;
-        friend class ::capnp::Orphanage;
-    };
+  inline  ::uint64_t getRevision() const;
 
-    class TargetChange::Builder {
-    public:
-        typedef TargetChange Builds;
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-        Builder() = delete; // Deleted to discourage incorrect usage.
-                            // You can explicitly initialize to nullptr instead.
-        inline Builder(decltype(nullptr)) { }
-        inline explicit Builder(::capnp::_::StructBuilder base)
-            : _builder(base)
-        {
-        }
-        inline operator Reader() const { return Reader(_builder.asReader()); }
-        inline Reader asReader() const { return *this; }
+class TargetChange::Builder {
+public:
+  typedef TargetChange Builds;
 
-        inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-        inline ::kj::StringTree toString() const
-        {
-            return asReader().toString();
-        }
-#endif // !CAPNP_LITE
-
-        inline bool hasTarget();
-        inline ::capnp::Text::Builder getTarget();
-        inline void setTarget(::capnp::Text::Reader value);
-        inline ::capnp::Text::Builder initTarget(unsigned int size);
-        inline void adoptTarget(::capnp::Orphan<::capnp::Text>&& value);
-        inline ::capnp::Orphan<::capnp::Text> disownTarget();
-
-        inline bool getRemoved();
-        inline void setRemoved(bool value);
-
-        inline bool hasService();
-        inline ::capnp::Text::Builder getService();
-        inline void setService(::capnp::Text::Reader value);
-        inline ::capnp::Text::Builder initService(unsigned int size);
-        inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
-        inline ::capnp::Orphan<::capnp::Text> disownService();
-
-        inline bool hasAddress();
-        inline ::capnp::Text::Builder getAddress();
-        inline void setAddress(::capnp::Text::Reader value);
-        inline ::capnp::Text::Builder initAddress(unsigned int size);
-        inline void adoptAddress(::capnp::Orphan<::capnp::Text>&& value);
-        inline ::capnp::Orphan<::capnp::Text> disownAddress();
-
-        inline ::uint16_t getPort();
-        inline void setPort(::uint16_t value);
-
-        inline bool hasDataCentre();
-        inline ::capnp::Text::Builder getDataCentre();
-        inline void setDataCentre(::capnp::Text::Reader value);
-        inline ::capnp::Text::Builder initDataCentre(unsigned int size);
-        inline void adoptDataCentre(::capnp::Orphan<::capnp::Text>&& value);
-        inline ::capnp::Orphan<::capnp::Text> disownDataCentre();
-
-        inline ::uint32_t getSlots();
-        inline void setSlots(::uint32_t value);
-
-        inline bool getDraining();
-        inline void setDraining(bool value);
-
-        inline ::uint32_t getWarmInMs();
-        inline void setWarmInMs(::uint32_t value);
-
-        inline ::uint64_t getIncarnation();
-        inline void setIncarnation(::uint64_t value);
-
-        inline ::uint64_t getRevision();
-        inline void setRevision(::uint64_t value);
-
-    private:
-        ::capnp::_::StructBuilder _builder;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::ToDynamic_;
-        friend class ::capnp::Orphanage;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::_::PointerHelpers;
-    };
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline bool getRemoved();
+  inline void setRemoved(bool value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline  ::uint16_t getPort();
+  inline void setPort( ::uint16_t value);
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
+
+  inline bool getDraining();
+  inline void setDraining(bool value);
+
+  inline  ::uint32_t getWarmInMs();
+  inline void setWarmInMs( ::uint32_t value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
 #if !CAPNP_LITE
-    class TargetChange::Pipeline {
-    public:
-        typedef TargetChange Pipelines;
-
-        inline Pipeline(decltype(nullptr))
-            : _typeless(nullptr)
-        {
-        }
-        inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-            : _typeless(kj::mv(typeless))
-        {
-        }
-
-    private:
-        ::capnp::AnyPointer::Pipeline _typeless;
-        friend class ::capnp::PipelineHook;
-        template <typename, ::capnp::Kind>
-        friend struct ::capnp::ToDynamic_;
-    };
-#endif // !CAPNP_LITE
-
-    // =======================================================================================
-
-    inline ::gypsumhub::wire::NodeDatagram::Which NodeDatagram::Reader::which() const
-    {
-        return _reader.getDataField<Which>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-    }
-    inline ::gypsumhub::wire::NodeDatagram::Which NodeDatagram::Builder::which()
-    {
-        return _builder.getDataField<Which>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-    }
-
-    inline bool NodeDatagram::Reader::hasSender() const
-    {
-        return !_reader.getPointerField(
-                           ::capnp::bounded<0>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline bool NodeDatagram::Builder::hasSender()
-    {
-        return !_builder.getPointerField(
-                            ::capnp::bounded<0>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline ::capnp::Text::Reader NodeDatagram::Reader::getSender() const
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
-            ::capnp::bounded<0>() * ::capnp::POINTERS));
-    }
-    inline ::capnp::Text::Builder NodeDatagram::Builder::getSender()
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
-            ::capnp::bounded<0>() * ::capnp::POINTERS));
-    }
-    inline void NodeDatagram::Builder::setSender(::capnp::Text::Reader value)
-    {
-        ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
-                                                           ::capnp::bounded<0>() * ::capnp::POINTERS),
-            value);
-    }
-    inline ::capnp::Text::Builder NodeDatagram::Builder::initSender(unsigned int size)
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
-                                                                   ::capnp::bounded<0>() * ::capnp::POINTERS),
-            size);
-    }
-    inline void NodeDatagram::Builder::adoptSender(
-        ::capnp::Orphan<::capnp::Text>&& value)
-    {
-        ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
-                                                             ::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
-    }
-    inline ::capnp::Orphan<::capnp::Text> NodeDatagram::Builder::disownSender()
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
-            ::capnp::bounded<0>() * ::capnp::POINTERS));
-    }
-
-    inline bool NodeDatagram::Reader::isHello() const
-    {
-        return which() == NodeDatagram::HELLO;
-    }
-    inline bool NodeDatagram::Builder::isHello()
-    {
-        return which() == NodeDatagram::HELLO;
-    }
-    inline bool NodeDatagram::Reader::hasHello() const
-    {
-        if (which() != NodeDatagram::HELLO)
-            return false;
-        return !_reader.getPointerField(
-                           ::capnp::bounded<1>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline bool NodeDatagram::Builder::hasHello()
-    {
-        if (which() != NodeDatagram::HELLO)
-            return false;
-        return !_builder.getPointerField(
-                            ::capnp::bounded<1>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline ::gypsumhub::wire::NodeHello::Reader NodeDatagram::Reader::getHello() const
-    {
-        KJ_IREQUIRE((which() == NodeDatagram::HELLO),
-            "Must check which() before get()ing a union member.");
-        return ::capnp::_::PointerHelpers<::gypsumhub::wire::NodeHello>::get(_reader.getPointerField(
-            ::capnp::bounded<1>() * ::capnp::POINTERS));
-    }
-    inline ::gypsumhub::wire::NodeHello::Builder NodeDatagram::Builder::getHello()
-    {
-        KJ_IREQUIRE((which() == NodeDatagram::HELLO),
-            "Must check which() before get()ing a union member.");
-        return ::capnp::_::PointerHelpers<::gypsumhub::wire::NodeHello>::get(_builder.getPointerField(
-            ::capnp::bounded<1>() * ::capnp::POINTERS));
-    }
-    inline void NodeDatagram::Builder::setHello(::gypsumhub::wire::NodeHello::Reader value)
-    {
-        _builder.setDataField<NodeDatagram::Which>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::HELLO);
-        ::capnp::_::PointerHelpers<::gypsumhub::wire::NodeHello>::set(_builder.getPointerField(
-                                                                          ::capnp::bounded<1>() * ::capnp::POINTERS),
-            value);
-    }
-    inline ::gypsumhub::wire::NodeHello::Builder NodeDatagram::Builder::initHello()
-    {
-        _builder.setDataField<NodeDatagram::Which>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::HELLO);
-        return ::capnp::_::PointerHelpers<::gypsumhub::wire::NodeHello>::init(_builder.getPointerField(
-            ::capnp::bounded<1>() * ::capnp::POINTERS));
-    }
-    inline void NodeDatagram::Builder::adoptHello(
-        ::capnp::Orphan<::gypsumhub::wire::NodeHello>&& value)
-    {
-        _builder.setDataField<NodeDatagram::Which>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::HELLO);
-        ::capnp::_::PointerHelpers<::gypsumhub::wire::NodeHello>::adopt(_builder.getPointerField(
-                                                                            ::capnp::bounded<1>() * ::capnp::POINTERS),
-            kj::mv(value));
-    }
-    inline ::capnp::Orphan<::gypsumhub::wire::NodeHello> NodeDatagram::Builder::disownHello()
-    {
-        KJ_IREQUIRE((which() == NodeDatagram::HELLO),
-            "Must check which() before get()ing a union member.");
-        return ::capnp::_::PointerHelpers<::gypsumhub::wire::NodeHello>::disown(_builder.getPointerField(
-            ::capnp::bounded<1>() * ::capnp::POINTERS));
-    }
-
-    inline bool NodeDatagram::Reader::isOutcomes() const
-    {
-        return which() == NodeDatagram::OUTCOMES;
-    }
-    inline bool NodeDatagram::Builder::isOutcomes()
-    {
-        return which() == NodeDatagram::OUTCOMES;
-    }
-    inline bool NodeDatagram::Reader::hasOutcomes() const
-    {
-        if (which() != NodeDatagram::OUTCOMES)
-            return false;
-        return !_reader.getPointerField(
-                           ::capnp::bounded<1>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline bool NodeDatagram::Builder::hasOutcomes()
-    {
-        if (which() != NodeDatagram::OUTCOMES)
-            return false;
-        return !_builder.getPointerField(
-                            ::capnp::bounded<1>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline ::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>::Reader NodeDatagram::Reader::getOutcomes() const
-    {
-        KJ_IREQUIRE((which() == NodeDatagram::OUTCOMES),
-            "Must check which() before get()ing a union member.");
-        return ::capnp::_::PointerHelpers<::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-            ::capnp::bounded<1>() * ::capnp::POINTERS));
-    }
-    inline ::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::getOutcomes()
-    {
-        KJ_IREQUIRE((which() == NodeDatagram::OUTCOMES),
-            "Must check which() before get()ing a union member.");
-        return ::capnp::_::PointerHelpers<::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-            ::capnp::bounded<1>() * ::capnp::POINTERS));
-    }
-    inline void NodeDatagram::Builder::setOutcomes(::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>::Reader value)
-    {
-        _builder.setDataField<NodeDatagram::Which>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::OUTCOMES);
-        ::capnp::_::PointerHelpers<::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-                                                                                                                    ::capnp::bounded<1>() * ::capnp::POINTERS),
-            value);
-    }
-    inline ::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::initOutcomes(unsigned int size)
-    {
-        _builder.setDataField<NodeDatagram::Which>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::OUTCOMES);
-        return ::capnp::_::PointerHelpers<::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-                                                                                                                            ::capnp::bounded<1>() * ::capnp::POINTERS),
-            size);
-    }
-    inline void NodeDatagram::Builder::adoptOutcomes(
-        ::capnp::Orphan<::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>>&& value)
-    {
-        _builder.setDataField<NodeDatagram::Which>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::OUTCOMES);
-        ::capnp::_::PointerHelpers<::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-                                                                                                                      ::capnp::bounded<1>() * ::capnp::POINTERS),
-            kj::mv(value));
-    }
-    inline ::capnp::Orphan<::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>> NodeDatagram::Builder::disownOutcomes()
-    {
-        KJ_IREQUIRE((which() == NodeDatagram::OUTCOMES),
-            "Must check which() before get()ing a union member.");
-        return ::capnp::_::PointerHelpers<::capnp::List<::gypsumhub::wire::TargetOutcome, ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-            ::capnp::bounded<1>() * ::capnp::POINTERS));
-    }
-
-    inline bool NodeDatagram::Reader::isRegistrations() const
-    {
-        return which() == NodeDatagram::REGISTRATIONS;
-    }
-    inline bool NodeDatagram::Builder::isRegistrations()
-    {
-        return which() == NodeDatagram::REGISTRATIONS;
-    }
-    inline bool NodeDatagram::Reader::hasRegistrations() const
-    {
-        if (which() != NodeDatagram::REGISTRATIONS)
-            return false;
-        return !_reader.getPointerField(
-                           ::capnp::bounded<1>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline bool NodeDatagram::Builder::hasRegistrations()
-    {
-        if (which() != NodeDatagram::REGISTRATIONS)
-            return false;
-        return !_builder.getPointerField(
-                            ::capnp::bounded<1>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline ::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>::Reader NodeDatagram::Reader::getRegistrations() const
-    {
-        KJ_IREQUIRE((which() == NodeDatagram::REGISTRATIONS),
-            "Must check which() before get()ing a union member.");
-        return ::capnp::_::PointerHelpers<::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-            ::capnp::bounded<1>() * ::capnp::POINTERS));
-    }
-    inline ::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::getRegistrations()
-    {
-        KJ_IREQUIRE((which() == NodeDatagram::REGISTRATIONS),
-            "Must check which() before get()ing a union member.");
-        return ::capnp::_::PointerHelpers<::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-            ::capnp::bounded<1>() * ::capnp::POINTERS));
-    }
-    inline void NodeDatagram::Builder::setRegistrations(::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>::Reader value)
-    {
-        _builder.setDataField<NodeDatagram::Which>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::REGISTRATIONS);
-        ::capnp::_::PointerHelpers<::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-                                                                                                                   ::capnp::bounded<1>() * ::capnp::POINTERS),
-            value);
-    }
-    inline ::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::initRegistrations(unsigned int size)
-    {
-        _builder.setDataField<NodeDatagram::Which>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::REGISTRATIONS);
-        return ::capnp::_::PointerHelpers<::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-                                                                                                                           ::capnp::bounded<1>() * ::capnp::POINTERS),
-            size);
-    }
-    inline void NodeDatagram::Builder::adoptRegistrations(
-        ::capnp::Orphan<::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>>&& value)
-    {
-        _builder.setDataField<NodeDatagram::Which>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::REGISTRATIONS);
-        ::capnp::_::PointerHelpers<::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-                                                                                                                     ::capnp::bounded<1>() * ::capnp::POINTERS),
-            kj::mv(value));
-    }
-    inline ::capnp::Orphan<::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>> NodeDatagram::Builder::disownRegistrations()
-    {
-        KJ_IREQUIRE((which() == NodeDatagram::REGISTRATIONS),
-            "Must check which() before get()ing a union member.");
-        return ::capnp::_::PointerHelpers<::capnp::List<::gypsumhub::wire::TargetChange, ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-            ::capnp::bounded<1>() * ::capnp::POINTERS));
-    }
-
-    inline bool NodeHello::Reader::getIsReady() const
-    {
-        return _reader.getDataField<bool>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-    }
-
-    inline bool NodeHello::Builder::getIsReady()
-    {
-        return _builder.getDataField<bool>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-    }
-    inline void NodeHello::Builder::setIsReady(bool value)
-    {
-        _builder.setDataField<bool>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-    }
-
-    inline bool NodeHello::Reader::getIsLeaving() const
-    {
-        return _reader.getDataField<bool>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-    }
-
-    inline bool NodeHello::Builder::getIsLeaving()
-    {
-        return _builder.getDataField<bool>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-    }
-    inline void NodeHello::Builder::setIsLeaving(bool value)
-    {
-        _builder.setDataField<bool>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-    }
-
-    inline ::uint64_t NodeHello::Reader::getConfigurationVersion() const
-    {
-        return _reader.getDataField<::uint64_t>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-    }
-
-    inline ::uint64_t NodeHello::Builder::getConfigurationVersion()
-    {
-        return _builder.getDataField<::uint64_t>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-    }
-    inline void NodeHello::Builder::setConfigurationVersion(::uint64_t value)
-    {
-        _builder.setDataField<::uint64_t>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-    }
-
-    inline ::uint64_t NodeHello::Reader::getViewDigest() const
-    {
-        return _reader.getDataField<::uint64_t>(
-            ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-    }
-
-    inline ::uint64_t NodeHello::Builder::getViewDigest()
-    {
-        return _builder.getDataField<::uint64_t>(
-            ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-    }
-    inline void NodeHello::Builder::setViewDigest(::uint64_t value)
-    {
-        _builder.setDataField<::uint64_t>(
-            ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-    }
-
-    inline ::uint32_t NodeHello::Reader::getViewAgeMs() const
-    {
-        return _reader.getDataField<::uint32_t>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-    }
-
-    inline ::uint32_t NodeHello::Builder::getViewAgeMs()
-    {
-        return _builder.getDataField<::uint32_t>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-    }
-    inline void NodeHello::Builder::setViewAgeMs(::uint32_t value)
-    {
-        _builder.setDataField<::uint32_t>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-    }
-
-    inline ::uint64_t NodeHello::Reader::getNodesDigest() const
-    {
-        return _reader.getDataField<::uint64_t>(
-            ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-    }
-
-    inline ::uint64_t NodeHello::Builder::getNodesDigest()
-    {
-        return _builder.getDataField<::uint64_t>(
-            ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-    }
-    inline void NodeHello::Builder::setNodesDigest(::uint64_t value)
-    {
-        _builder.setDataField<::uint64_t>(
-            ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-    }
-
-    inline bool TargetOutcome::Reader::hasTarget() const
-    {
-        return !_reader.getPointerField(
-                           ::capnp::bounded<0>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline bool TargetOutcome::Builder::hasTarget()
-    {
-        return !_builder.getPointerField(
-                            ::capnp::bounded<0>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline ::capnp::Text::Reader TargetOutcome::Reader::getTarget() const
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
-            ::capnp::bounded<0>() * ::capnp::POINTERS));
-    }
-    inline ::capnp::Text::Builder TargetOutcome::Builder::getTarget()
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
-            ::capnp::bounded<0>() * ::capnp::POINTERS));
-    }
-    inline void TargetOutcome::Builder::setTarget(::capnp::Text::Reader value)
-    {
-        ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
-                                                           ::capnp::bounded<0>() * ::capnp::POINTERS),
-            value);
-    }
-    inline ::capnp::Text::Builder TargetOutcome::Builder::initTarget(unsigned int size)
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
-                                                                   ::capnp::bounded<0>() * ::capnp::POINTERS),
-            size);
-    }
-    inline void TargetOutcome::Builder::adoptTarget(
-        ::capnp::Orphan<::capnp::Text>&& value)
-    {
-        ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
-                                                             ::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
-    }
-    inline ::capnp::Orphan<::capnp::Text> TargetOutcome::Builder::disownTarget()
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
-            ::capnp::bounded<0>() * ::capnp::POINTERS));
-    }
-
-    inline ::uint64_t TargetOutcome::Reader::getIncarnation() const
-    {
-        return _reader.getDataField<::uint64_t>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-    }
-
-    inline ::uint64_t TargetOutcome::Builder::getIncarnation()
-    {
-        return _builder.getDataField<::uint64_t>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-    }
-    inline void TargetOutcome::Builder::setIncarnation(::uint64_t value)
-    {
-        _builder.setDataField<::uint64_t>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-    }
-
-    inline bool TargetOutcome::Reader::getFailed() const
-    {
-        return _reader.getDataField<bool>(
-            ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-    }
-
-    inline bool TargetOutcome::Builder::getFailed()
-    {
-        return _builder.getDataField<bool>(
-            ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-    }
-    inline void TargetOutcome::Builder::setFailed(bool value)
-    {
-        _builder.setDataField<bool>(
-            ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-    }
-
-    inline ::uint32_t TargetOutcome::Reader::getSentBeforeMs() const
-    {
-        return _reader.getDataField<::uint32_t>(
-            ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-    }
-
-    inline ::uint32_t TargetOutcome::Builder::getSentBeforeMs()
-    {
-        return _builder.getDataField<::uint32_t>(
-            ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-    }
-    inline void TargetOutcome::Builder::setSentBeforeMs(::uint32_t value)
-    {
-        _builder.setDataField<::uint32_t>(
-            ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-    }
-
-    inline bool TargetChange::Reader::hasTarget() const
-    {
-        return !_reader.getPointerField(
-                           ::capnp::bounded<0>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline bool TargetChange::Builder::hasTarget()
-    {
-        return !_builder.getPointerField(
-                            ::capnp::bounded<0>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline ::capnp::Text::Reader TargetChange::Reader::getTarget() const
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
-            ::capnp::bounded<0>() * ::capnp::POINTERS));
-    }
-    inline ::capnp::Text::Builder TargetChange::Builder::getTarget()
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
-            ::capnp::bounded<0>() * ::capnp::POINTERS));
-    }
-    inline void TargetChange::Builder::setTarget(::capnp::Text::Reader value)
-    {
-        ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
-                                                           ::capnp::bounded<0>() * ::capnp::POINTERS),
-            value);
-    }
-    inline ::capnp::Text::Builder TargetChange::Builder::initTarget(unsigned int size)
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
-                                                                   ::capnp::bounded<0>() * ::capnp::POINTERS),
-            size);
-    }
-    inline void TargetChange::Builder::adoptTarget(
-        ::capnp::Orphan<::capnp::Text>&& value)
-    {
-        ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
-                                                             ::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
-    }
-    inline ::capnp::Orphan<::capnp::Text> TargetChange::Builder::disownTarget()
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
-            ::capnp::bounded<0>() * ::capnp::POINTERS));
-    }
-
-    inline bool TargetChange::Reader::getRemoved() const
-    {
-        return _reader.getDataField<bool>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-    }
-
-    inline bool TargetChange::Builder::getRemoved()
-    {
-        return _builder.getDataField<bool>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-    }
-    inline void TargetChange::Builder::setRemoved(bool value)
-    {
-        _builder.setDataField<bool>(
-            ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-    }
-
-    inline bool TargetChange::Reader::hasService() const
-    {
-        return !_reader.getPointerField(
-                           ::capnp::bounded<1>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline bool TargetChange::Builder::hasService()
-    {
-        return !_builder.getPointerField(
-                            ::capnp::bounded<1>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline ::capnp::Text::Reader TargetChange::Reader::getService() const
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
-            ::capnp::bounded<1>() * ::capnp::POINTERS));
-    }
-    inline ::capnp::Text::Builder TargetChange::Builder::getService()
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
-            ::capnp::bounded<1>() * ::capnp::POINTERS));
-    }
-    inline void TargetChange::Builder::setService(::capnp::Text::Reader value)
-    {
-        ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
-                                                           ::capnp::bounded<1>() * ::capnp::POINTERS),
-            value);
-    }
-    inline ::capnp::Text::Builder TargetChange::Builder::initService(unsigned int size)
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
-                                                                   ::capnp::bounded<1>() * ::capnp::POINTERS),
-            size);
-    }
-    inline void TargetChange::Builder::adoptService(
-        ::capnp::Orphan<::capnp::Text>&& value)
-    {
-        ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
-                                                             ::capnp::bounded<1>() * ::capnp::POINTERS),
-            kj::mv(value));
-    }
-    inline ::capnp::Orphan<::capnp::Text> TargetChange::Builder::disownService()
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
-            ::capnp::bounded<1>() * ::capnp::POINTERS));
-    }
-
-    inline bool TargetChange::Reader::hasAddress() const
-    {
-        return !_reader.getPointerField(
-                           ::capnp::bounded<2>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline bool TargetChange::Builder::hasAddress()
-    {
-        return !_builder.getPointerField(
-                            ::capnp::bounded<2>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline ::capnp::Text::Reader TargetChange::Reader::getAddress() const
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
-            ::capnp::bounded<2>() * ::capnp::POINTERS));
-    }
-    inline ::capnp::Text::Builder TargetChange::Builder::getAddress()
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
-            ::capnp::bounded<2>() * ::capnp::POINTERS));
-    }
-    inline void TargetChange::Builder::setAddress(::capnp::Text::Reader value)
-    {
-        ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
-                                                           ::capnp::bounded<2>() * ::capnp::POINTERS),
-            value);
-    }
-    inline ::capnp::Text::Builder TargetChange::Builder::initAddress(unsigned int size)
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
-                                                                   ::capnp::bounded<2>() * ::capnp::POINTERS),
-            size);
-    }
-    inline void TargetChange::Builder::adoptAddress(
-        ::capnp::Orphan<::capnp::Text>&& value)
-    {
-        ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
-                                                             ::capnp::bounded<2>() * ::capnp::POINTERS),
-            kj::mv(value));
-    }
-    inline ::capnp::Orphan<::capnp::Text> TargetChange::Builder::disownAddress()
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
-            ::capnp::bounded<2>() * ::capnp::POINTERS));
-    }
-
-    inline ::uint16_t TargetChange::Reader::getPort() const
-    {
-        return _reader.getDataField<::uint16_t>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-    }
-
-    inline ::uint16_t TargetChange::Builder::getPort()
-    {
-        return _builder.getDataField<::uint16_t>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-    }
-    inline void TargetChange::Builder::setPort(::uint16_t value)
-    {
-        _builder.setDataField<::uint16_t>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-    }
-
-    inline bool TargetChange::Reader::hasDataCentre() const
-    {
-        return !_reader.getPointerField(
-                           ::capnp::bounded<3>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline bool TargetChange::Builder::hasDataCentre()
-    {
-        return !_builder.getPointerField(
-                            ::capnp::bounded<3>() * ::capnp::POINTERS)
-                    .isNull();
-    }
-    inline ::capnp::Text::Reader TargetChange::Reader::getDataCentre() const
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
-            ::capnp::bounded<3>() * ::capnp::POINTERS));
-    }
-    inline ::capnp::Text::Builder TargetChange::Builder::getDataCentre()
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
-            ::capnp::bounded<3>() * ::capnp::POINTERS));
-    }
-    inline void TargetChange::Builder::setDataCentre(::capnp::Text::Reader value)
-    {
-        ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
-                                                           ::capnp::bounded<3>() * ::capnp::POINTERS),
-            value);
-    }
-    inline ::capnp::Text::Builder TargetChange::Builder::initDataCentre(unsigned int size)
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
-                                                                   ::capnp::bounded<3>() * ::capnp::POINTERS),
-            size);
-    }
-    inline void TargetChange::Builder::adoptDataCentre(
-        ::capnp::Orphan<::capnp::Text>&& value)
-    {
-        ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
-                                                             ::capnp::bounded<3>() * ::capnp::POINTERS),
-            kj::mv(value));
-    }
-    inline ::capnp::Orphan<::capnp::Text> TargetChange::Builder::disownDataCentre()
-    {
-        return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
-            ::capnp::bounded<3>() * ::capnp::POINTERS));
-    }
-
-    inline ::uint32_t TargetChange::Reader::getSlots() const
-    {
-        return _reader.getDataField<::uint32_t>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-    }
-
-    inline ::uint32_t TargetChange::Builder::getSlots()
-    {
-        return _builder.getDataField<::uint32_t>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-    }
-    inline void TargetChange::Builder::setSlots(::uint32_t value)
-    {
-        _builder.setDataField<::uint32_t>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-    }
-
-    inline bool TargetChange::Reader::getDraining() const
-    {
-        return _reader.getDataField<bool>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-    }
-
-    inline bool TargetChange::Builder::getDraining()
-    {
-        return _builder.getDataField<bool>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-    }
-    inline void TargetChange::Builder::setDraining(bool value)
-    {
-        _builder.setDataField<bool>(
-            ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-    }
-
-    inline ::uint32_t TargetChange::Reader::getWarmInMs() const
-    {
-        return _reader.getDataField<::uint32_t>(
-            ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-    }
-
-    inline ::uint32_t TargetChange::Builder::getWarmInMs()
-    {
-        return _builder.getDataField<::uint32_t>(
-            ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-    }
-    inline void TargetChange::Builder::setWarmInMs(::uint32_t value)
-    {
-        _builder.setDataField<::uint32_t>(
-            ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-    }
-
-    inline ::uint64_t TargetChange::Reader::getIncarnation() const
-    {
-        return _reader.getDataField<::uint64_t>(
-            ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-    }
-
-    inline ::uint64_t TargetChange::Builder::getIncarnation()
-    {
-        return _builder.getDataField<::uint64_t>(
-            ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-    }
-    inline void TargetChange::Builder::setIncarnation(::uint64_t value)
-    {
-        _builder.setDataField<::uint64_t>(
-            ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-    }
-
-    inline ::uint64_t TargetChange::Reader::getRevision() const
-    {
-        return _reader.getDataField<::uint64_t>(
-            ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-    }
-
-    inline ::uint64_t TargetChange::Builder::getRevision()
-    {
-        return _builder.getDataField<::uint64_t>(
-            ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-    }
-    inline void TargetChange::Builder::setRevision(::uint64_t value)
-    {
-        _builder.setDataField<::uint64_t>(
-            ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-    }
-
-} // namespace wire
-} // namespace gypsumhub
+class TargetChange::Pipeline {
+public:
+  typedef TargetChange Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::gypsumhub::wire::NodeDatagram::Which NodeDatagram::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::gypsumhub::wire::NodeDatagram::Which NodeDatagram::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeDatagram::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDatagram::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeDatagram::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeDatagram::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NodeDatagram::Builder::setSender( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeDatagram::Builder::initSender(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NodeDatagram::Builder::adoptSender(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeDatagram::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDatagram::Reader::isHello() const {
+  return which() == NodeDatagram::HELLO;
+}
+inline bool NodeDatagram::Builder::isHello() {
+  return which() == NodeDatagram::HELLO;
+}
+inline bool NodeDatagram::Reader::hasHello() const {
+  if (which() != NodeDatagram::HELLO) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDatagram::Builder::hasHello() {
+  if (which() != NodeDatagram::HELLO) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::gypsumhub::wire::NodeHello::Reader NodeDatagram::Reader::getHello() const {
+  KJ_IREQUIRE((which() == NodeDatagram::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::gypsumhub::wire::NodeHello::Builder NodeDatagram::Builder::getHello() {
+  KJ_IREQUIRE((which() == NodeDatagram::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeDatagram::Builder::setHello( ::gypsumhub::wire::NodeHello::Reader value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::HELLO);
+  ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::gypsumhub::wire::NodeHello::Builder NodeDatagram::Builder::initHello() {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::HELLO);
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeDatagram::Builder::adoptHello(
+    ::capnp::Orphan< ::gypsumhub::wire::NodeHello>&& value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::HELLO);
+  ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::gypsumhub::wire::NodeHello> NodeDatagram::Builder::disownHello() {
+  KJ_IREQUIRE((which() == NodeDatagram::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDatagram::Reader::isOutcomes() const {
+  return which() == NodeDatagram::OUTCOMES;
+}
+inline bool NodeDatagram::Builder::isOutcomes() {
+  return which() == NodeDatagram::OUTCOMES;
+}
+inline bool NodeDatagram::Reader::hasOutcomes() const {
+  if (which() != NodeDatagram::OUTCOMES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDatagram::Builder::hasOutcomes() {
+  if (which() != NodeDatagram::OUTCOMES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>::Reader NodeDatagram::Reader::getOutcomes() const {
+  KJ_IREQUIRE((which() == NodeDatagram::OUTCOMES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::getOutcomes() {
+  KJ_IREQUIRE((which() == NodeDatagram::OUTCOMES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeDatagram::Builder::setOutcomes( ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::OUTCOMES);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::initOutcomes(unsigned int size) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::OUTCOMES);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeDatagram::Builder::adoptOutcomes(
+    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::OUTCOMES);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>> NodeDatagram::Builder::disownOutcomes() {
+  KJ_IREQUIRE((which() == NodeDatagram::OUTCOMES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDatagram::Reader::isRegistrations() const {
+  return which() == NodeDatagram::REGISTRATIONS;
+}
+inline bool NodeDatagram::Builder::isRegistrations() {
+  return which() == NodeDatagram::REGISTRATIONS;
+}
+inline bool NodeDatagram::Reader::hasRegistrations() const {
+  if (which() != NodeDatagram::REGISTRATIONS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDatagram::Builder::hasRegistrations() {
+  if (which() != NodeDatagram::REGISTRATIONS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>::Reader NodeDatagram::Reader::getRegistrations() const {
+  KJ_IREQUIRE((which() == NodeDatagram::REGISTRATIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::getRegistrations() {
+  KJ_IREQUIRE((which() == NodeDatagram::REGISTRATIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeDatagram::Builder::setRegistrations( ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::REGISTRATIONS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::initRegistrations(unsigned int size) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::REGISTRATIONS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeDatagram::Builder::adoptRegistrations(
+    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::REGISTRATIONS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>> NodeDatagram::Builder::disownRegistrations() {
+  KJ_IREQUIRE((which() == NodeDatagram::REGISTRATIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeHello::Reader::getIsReady() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeHello::Builder::getIsReady() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NodeHello::Builder::setIsReady(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeHello::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeHello::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NodeHello::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NodeHello::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeHello::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NodeHello::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NodeHello::Reader::getViewDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeHello::Builder::getViewDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void NodeHello::Builder::setViewDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t NodeHello::Reader::getViewAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t NodeHello::Builder::getViewAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NodeHello::Builder::setViewAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NodeHello::Reader::getNodesDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeHello::Builder::getNodesDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void NodeHello::Builder::setNodesDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeHello::Reader::hasDemands() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeHello::Builder::hasDemands() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>::Reader NodeHello::Reader::getDemands() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>::Builder NodeHello::Builder::getDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NodeHello::Builder::setDemands( ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>::Builder NodeHello::Builder::initDemands(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NodeHello::Builder::adoptDemands(
+    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>> NodeHello::Builder::disownDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool HostDemand::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostDemand::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HostDemand::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HostDemand::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HostDemand::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HostDemand::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HostDemand::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HostDemand::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline float HostDemand::Reader::getRequestsPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float HostDemand::Builder::getRequestsPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HostDemand::Builder::setRequestsPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float HostDemand::Reader::getMegabitsPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float HostDemand::Builder::getMegabitsPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void HostDemand::Builder::setMegabitsPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TargetOutcome::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TargetOutcome::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TargetOutcome::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TargetOutcome::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TargetOutcome::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TargetOutcome::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TargetOutcome::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TargetOutcome::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t TargetOutcome::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TargetOutcome::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TargetOutcome::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TargetOutcome::Reader::getFailed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool TargetOutcome::Builder::getFailed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void TargetOutcome::Builder::setFailed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TargetOutcome::Reader::getSentBeforeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetOutcome::Builder::getSentBeforeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TargetOutcome::Builder::setSentBeforeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TargetChange::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TargetChange::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TargetChange::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TargetChange::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TargetChange::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TargetChange::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TargetChange::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TargetChange::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool TargetChange::Reader::getRemoved() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool TargetChange::Builder::getRemoved() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TargetChange::Builder::setRemoved(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TargetChange::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool TargetChange::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TargetChange::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TargetChange::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void TargetChange::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TargetChange::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void TargetChange::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TargetChange::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool TargetChange::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool TargetChange::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TargetChange::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TargetChange::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void TargetChange::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TargetChange::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void TargetChange::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TargetChange::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t TargetChange::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t TargetChange::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TargetChange::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TargetChange::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool TargetChange::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TargetChange::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TargetChange::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void TargetChange::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TargetChange::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void TargetChange::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TargetChange::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t TargetChange::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetChange::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TargetChange::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TargetChange::Reader::getDraining() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool TargetChange::Builder::getDraining() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TargetChange::Builder::setDraining(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TargetChange::Reader::getWarmInMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetChange::Builder::getWarmInMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TargetChange::Builder::setWarmInMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TargetChange::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TargetChange::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TargetChange::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TargetChange::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TargetChange::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TargetChange::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
--- a/gypsumhub/gateway/node_datagram.cpp
+++ b/gypsumhub/gateway/node_datagram.cpp
@@ -15,6 +15,7 @@
 
     // No datagram written by a node needs more; protects against amplification by malformed ones.
     constexpr auto readLimitWords = uint64_t { 4096 };
+    constexpr auto maxDatagramDemands = size_t { 8 };
 
     auto toMilliseconds(duration length) -> uint32_t
     {
@@ -35,6 +36,14 @@
             written.setViewDigest(hello.viewDigest);
             written.setViewAgeMs(toMilliseconds(hello.viewAge));
             written.setNodesDigest(hello.nodesDigest);
+            if (hello.demands.empty())
+                return;
+            auto demands = written.initDemands(static_cast<uint32_t>(hello.demands.size()));
+            for (auto index = uint32_t { 0 }; index < demands.size(); ++index) {
+                demands[index].setHost(hello.demands[index].host);
+                demands[index].setRequestsPerSecond(static_cast<float>(hello.demands[index].requestsPerSecond));
+                demands[index].setMegabitsPerSecond(static_cast<float>(hello.demands[index].megabitsPerSecond));
+            }
         }
 
         auto operator()(const std::vector<peer_outcome>& outcomes) -> void
@@ -70,6 +79,19 @@
         }
     };
 
+    auto readDemands(wire::NodeHello::Reader hello) -> std::vector<host_demand>
+    {
+        auto demands = std::vector<host_demand> {};
+        for (auto demand : hello.getDemands()) {
+            if (demands.size() == maxDatagramDemands)
+                break;
+            // A negative or undefined rate counts as none.
+            auto rateOf = [](float rate) { return rate > 0 ? static_cast<double>(rate) : 0.0; };
+            demands.push_back({ demand.getHost().cStr(), rateOf(demand.getRequestsPerSecond()), rateOf(demand.getMegabitsPerSecond()) });
+        }
+        return demands;
+    }
+
     auto readOutcomes(wire::NodeDatagram::Reader datagram, time_point now) -> std::vector<peer_outcome>
     {
         auto outcomes = std::vector<peer_outcome> {};
@@ -109,7 +131,7 @@
         case wire::NodeDatagram::HELLO: {
             auto hello = datagram.getHello();
             read.content = node_hello { read.sender, hello.getIsReady(), hello.getIsLeaving(), hello.getConfigurationVersion(),
-                hello.getViewDigest(), milliseconds(hello.getViewAgeMs()), hello.getNodesDigest() };
+                hello.getViewDigest(), milliseconds(hello.getViewAgeMs()), hello.getNodesDigest(), readDemands(hello) };
             return read;
         }
         case wire::NodeDatagram::OUTCOMES:
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -133,6 +133,7 @@
     readDeadline();
     if (!m_context.shutdown.accepts(bootClockNow(), m_deadline))
         co_return refuse("stopping", minRetryAfter);
+    m_context.demand.recordRequest(m_route->host, m_arrivedAt);
     m_dispatcher = &m_context.dispatcher(m_context.roundRobinOf(*m_route).next());
     m_dispatcher->retryBudget().recordRequest(m_arrivedAt);
     m_body = std::make_shared<const std::string>(m_request.body());
@@ -376,8 +377,10 @@
     auto isSuccess = reply.result_int() / 100 == 2;
     auto fields = boost::json::object { { "id", m_id }, { "status", reply.result_int() }, { "reason", m_reason }, { "sent", m_sent },
         { "took_ms", (now - m_arrivedAt).milliseconds() }, { "left_ms", (m_deadline - now).milliseconds() } };
-    if (m_route)
+    if (m_route) {
         fields["route"] = m_route->name;
+        m_context.demand.recordBytes(m_route->host, m_request.body().size() + reply.body().size(), now);
+    }
     if (m_dispatcher) {
         fields["in_flight"] = m_dispatcher->inFlight();
         m_context.balancer.recordEnd(m_dispatcher->service(), isSuccess, now);
--- a/unit_tests/decision/selection/membership_view_test.cpp
+++ b/unit_tests/decision/selection/membership_view_test.cpp
@@ -253,3 +253,40 @@
     CHECK(readers == 1);
     CHECK(watchers == 2);
 }
+
+TEST_CASE("after a power loss small nodes alone are back: a host gets as many of them as its measured load needs")
+{
+    // 230 requests per second need 0.46 cores with room for a burst; a node of 0.1 cores is full with 100 requests per second.
+    auto small = node_size { 0.1, 20 }, large = node_size { 0.5, 200 };
+    auto goal = group_requirement { 1, { 0.2, 50 } };
+    auto own = makeNode("n1");
+    own.size = small;
+    auto memberView = membership_view(own);
+    memberView.setOwnState(true, false);
+    for (auto name : { "n2", "n3", "n4", "n5", "n6", "n7", "n8" }) {
+        auto node = makeNode(name);
+        node.size = small;
+        memberView.recordRegistration(node);
+        memberView.recordHello(makeHello(name), at(0));
+    }
+    CHECK(memberView.group("h.example", "a1", goal, at(100)).size() == 3);
+    for (auto name : { "n2", "n3" }) {
+        auto busy = makeHello(name);
+        busy.demands = { { "h.example", 100, 5 }, { "other.example", 5, 0.1 } };
+        memberView.recordHello(busy, at(100));
+    }
+    memberView.setOwnDemands({ { "h.example", 30, 1 } });
+    auto group = memberView.group("h.example", "a1", goal, at(200));
+    CHECK(group.size() == 5);
+    CHECK(memberView.group("other.example", "a1", goal, at(200)).size() == 3);
+    // A large node that is back serves the host alone, and first.
+    auto back = makeNode("n9");
+    back.size = large;
+    memberView.recordRegistration(back);
+    memberView.recordHello(makeHello("n9"), at(300));
+    group = memberView.group("h.example", "a1", goal, at(300));
+    REQUIRE(group.size() == 1);
+    CHECK(group.front().address == "n9");
+    // Nodes that no longer send hellos do not count.
+    CHECK(memberView.group("h.example", "a1", goal, at(5'000)).size() == 1);
+}
