Gateway: a starting node lists the nodes of its own data centre only

Cause: at a common start each of 444 nodes listed all nodes, 142 KB. A node without the listing after 0.6 s read the targets from the store as well.

Change: node registrations are keyed by data centre; a starting node lists its own, and the reader passes the others on by difference. The listings of targets and configuration wait for that one. A busy reader is asked again instead of the store.

--- a/gypsumhub/gateway/node_watcher.cpp
+++ b/gypsumhub/gateway/node_watcher.cpp
@@ -33,6 +33,11 @@
         return mixHashes(hashName(entry.key), entry.modRevision);
     }
 
+    auto nodeNameOf(const std::string& key) -> std::string
+    {
+        return key.substr(key.rfind('/') + 1);
+    }
+
     auto formatNode(const node_registration& node) -> std::string
     {
         return json::serialize(json::object { { "data_centre", node.dataCentre }, { "caller_address", formatEndpoint(node.callerAddress) },
@@ -59,7 +64,7 @@
         auto peer = parseEndpoint(textOf("peer_address"));
         if (!caller || !peer)
             return std::nullopt;
-        return node_registration { entry.key.substr(node_watcher::prefix.size()), textOf("data_centre"), *caller, *peer, parseDuration(textOf("store_delay")).value_or(duration {}),
+        return node_registration { nodeNameOf(entry.key), textOf("data_centre"), *caller, *peer, parseDuration(textOf("store_delay")).value_or(duration {}),
             { numberOf("cores"), numberOf("link") } };
     }
 
@@ -110,7 +115,28 @@
         return;
     m_digest -= digestOf(known->second);
     m_entries.erase(known);
-    m_access.context().memberView.recordUnregistration(key.substr(prefix.size()), bootClockNow());
+    m_access.context().memberView.recordUnregistration(nodeNameOf(key), bootClockNow());
+}
+
+auto node_watcher::ownDataCentrePrefix() const -> std::string
+{
+    return std::string(prefix) + m_access.context().settings.dataCentre + "/";
+}
+
+auto node_watcher::readOwnDataCentre() -> task<>
+{
+    while (m_entries.empty()) {
+        auto listed = co_await m_access.store().list(ownDataCentrePrefix(), bootClockNow() + storeCallTimeout);
+        if (!m_access.recordCall("nodes", listed.status)) {
+            co_await m_access.backOff();
+            continue;
+        }
+        m_access.context().memberView.beginStartupGrace(bootClockNow());
+        applyListing(listed.value);
+        m_access.markNodesListed();
+        if (m_entries.empty())
+            co_await m_access.pause(pauseBetweenReads());
+    }
 }
 
 auto node_watcher::read() -> task<uint64_t>
@@ -118,10 +144,7 @@
     auto listed = co_await m_access.store().list(std::string(prefix), bootClockNow() + storeCallTimeout);
     if (!m_access.recordCall("nodes", listed.status))
         co_return 0;
-    if (m_entries.empty())
-        m_access.context().memberView.beginStartupGrace(bootClockNow());
     applyListing(listed.value);
-    m_access.markNodesListed();
     co_return listed.value.revision;
 }
 
@@ -134,8 +157,9 @@
 {
     while (!m_hasRegistered && bootClockNow() < m_access.context().startedAt + registrationTimeout)
         co_await m_access.pause(registrationCheckInterval);
+    co_await readOwnDataCentre();
     for (auto revision = uint64_t { 0 };;) {
-        if (!m_entries.empty() && !m_access.context().memberView.isReader(bootClockNow())) {
+        if (!m_access.context().memberView.isReader(bootClockNow())) {
             revision = 0;
             co_await m_access.pause(readerCheckInterval);
             continue;
@@ -209,7 +233,7 @@
             isRegistered = false;
         }
         if (m_lease != 0 && !isRegistered) {
-            auto key = std::string(prefix) + m_access.context().settings.name;
+            auto key = ownDataCentrePrefix() + m_access.context().settings.name;
             m_access.context().memberView.setStoreDelay(m_access.store().minCallDelay());
             auto status = co_await m_access.store().put(std::move(key), formatNode(m_access.context().memberView.own()), m_lease, bootClockNow() + storeCallTimeout);
             isRegistered = m_access.recordCall("registration", status);
--- a/gypsumhub/gateway/node_watcher.h
+++ b/gypsumhub/gateway/node_watcher.h
@@ -23,15 +23,19 @@
     /// Equal for two nodes with the same registrations.
     auto digest() const -> uint64_t { return m_digest; }
 
-    /// Key prefix of the node registrations in the store.
+    /// Key prefix of the node registrations in the store. A key continues with the data centre, a slash and the name of the node.
     static constexpr auto prefix = std::string_view { "gypsumhub/nodes/" };
 
 private:
     /// Reads and watches the registrations in the store while this node is the reader.
     auto watch() -> task<>;
     auto pauseBetweenReads() const -> duration;
+    /// Lists the registrations of the own data centre from the store, until there are some. The others come from the reader: when all
+    /// nodes start together, whole listings would fill the link between regions.
+    auto readOwnDataCentre() -> task<>;
     /// Lists the registrations from the store. Returns the revision of the listing, or 0 when the call fails.
     auto read() -> task<uint64_t>;
+    auto ownDataCentrePrefix() const -> std::string;
     /// Lists the registrations from the node `from`, or from the store when that node does not answer.
     auto catchUp(std::string from) -> task<>;
     /// Writes this node's registration with a lease, and renews the lease until the shutdown.
--- a/gypsumhub/gateway/store_access.cpp
+++ b/gypsumhub/gateway/store_access.cpp
@@ -10,8 +10,6 @@
 
     // A listing of 400 KB takes a third of a second over a link of 10 Mbit/s.
     constexpr auto peerCallTimeout = milliseconds(800);
-    // Registering and listing the nodes takes four round trips, to a store that may be in another region.
-    constexpr auto firstNodesTimeout = milliseconds(600);
     // Allows for a chain of four slow nodes that list one after another. A node that starts alone does not wait.
     constexpr auto startListTimeout = milliseconds(2000);
     constexpr auto startRetryDelay = milliseconds(30);
@@ -56,9 +54,9 @@
 
 auto store_access::listAtStartup(std::string prefix) -> task<std::optional<key_listing>>
 {
-    for (auto limit = bootClockNow() + firstNodesTimeout; !m_hasNodeListing && bootClockNow() < limit;)
-        co_await pause(startRetryDelay);
     auto limit = bootClockNow() + startListTimeout;
+    while (!m_hasNodeListing && bootClockNow() < limit)
+        co_await pause(startRetryDelay);
     auto sources = m_context.memberView.bootstrapSources();
     for (auto source = sources.begin(); source != sources.end() && bootClockNow() < limit;) {
         auto listed = co_await callPeer(*source, prefix, {}, bootClockNow() + startCallTimeout);
@@ -87,26 +85,27 @@
     co_return listed;
 }
 
-auto store_access::listFromPeer(std::string node, std::string prefix, bucket_digests known) -> task<std::optional<key_listing>>
+auto store_access::listFromPeer(std::string node, std::string prefix, bucket_digests known) -> task<keyspace_result<key_listing>>
 {
     auto deadline = bootClockNow() + peerCallTimeout;
-    for (auto mayRetry = true; mayRetry;) {
+    for (;;) {
         auto listed = co_await callPeer(node, prefix, known, deadline);
         if (listed.status == keyspace_status::Ok)
-            co_return std::move(listed.value);
-        mayRetry = listed.status == keyspace_status::Refused && bootClockNow() + busyPeerDelay < deadline;
-        if (mayRetry)
-            co_await pause(busyPeerDelay);
+            co_return listed;
+        if (listed.status != keyspace_status::Refused || bootClockNow() + busyPeerDelay >= deadline) {
+            m_context.log.write(log_class::Notable, "peer_list_failed",
+                { { "node", node }, { "prefix", prefix }, { "busy", listed.status == keyspace_status::Refused } });
+            co_return listed;
+        }
+        co_await pause(busyPeerDelay);
     }
-    m_context.log.write(log_class::Notable, "peer_list_failed", { { "node", node }, { "prefix", prefix } });
-    co_return std::nullopt;
 }
 
 auto store_access::listFrom(std::string node, std::string prefix, bucket_digests known) -> task<keyspace_result<key_listing>>
 {
     auto received = co_await listFromPeer(std::move(node), prefix, known);
-    if (received)
-        co_return keyspace_result<key_listing> { keyspace_status::Ok, std::move(*received) };
+    if (received.status == keyspace_status::Ok || received.status == keyspace_status::Refused)
+        co_return received;
     auto listed = co_await m_store.list(prefix, bootClockNow() + storeCallTimeout);
     recordCall("catch_up", listed.status);
     co_return listed;
--- a/gypsumhub/gateway/store_access.h
+++ b/gypsumhub/gateway/store_access.h
@@ -31,9 +31,10 @@
     auto listAtStartup(std::string prefix) -> task<std::optional<key_listing>>;
     /// Calls another node once. `Refused` means that the node is sending to too many others.
     auto callPeer(std::string node, std::string prefix, bucket_digests known, time_point deadline) -> task<keyspace_result<key_listing>>;
-    /// Lists from another node the buckets of a prefix that differ from `known`, or returns nullopt when the call fails.
-    auto listFromPeer(std::string node, std::string prefix, bucket_digests known) -> task<std::optional<key_listing>>;
-    /// Lists as `listFromPeer`, or the whole prefix from the store when that call fails.
+    /// Lists from another node the buckets of a prefix that differ from `known`. `Refused` means that the node was sending to too many
+    /// others all the while, so that the store is not to be asked either.
+    auto listFromPeer(std::string node, std::string prefix, bucket_digests known) -> task<keyspace_result<key_listing>>;
+    /// Lists as `listFromPeer`, or the whole prefix from the store when the node does not answer.
     auto listFrom(std::string node, std::string prefix, bucket_digests known) -> task<keyspace_result<key_listing>>;
 
 private:
--- a/gypsumhub/gateway/target_watcher.cpp
+++ b/gypsumhub/gateway/target_watcher.cpp
@@ -76,10 +76,10 @@
     auto* reader = m_access.context().memberView.reader(bootClockNow());
     if (reader) {
         auto received = co_await m_access.listFromPeer(reader->name, prefix, m_access.context().view.digests());
-        if (received) {
-            applyListing(*received, view_source::Node);
-            co_return true;
-        }
+        if (received.status == keyspace_status::Ok)
+            applyListing(received.value, view_source::Node);
+        if (received.status == keyspace_status::Ok || received.status == keyspace_status::Refused)
+            co_return received.status == keyspace_status::Ok;
     }
     auto listed = co_await m_access.store().list(std::move(prefix), bootClockNow() + storeCallTimeout);
     if (!m_access.recordCall("registrations", listed.status))
