--- a/unit_tests/gateway/node_datagram_test.cpp
+++ b/unit_tests/gateway/node_datagram_test.cpp
@@ -26,10 +26,13 @@
 TEST_CASE("datagrams carry hellos, outcomes and registrations with ages instead of clock times")
 {
     auto later = now + seconds(1000);
-    auto hello = node_hello { "n1", true, false, 31, 99, milliseconds(250) };
+    auto hello = node_hello { "n1", true, false, 31, 99, milliseconds(250), 7, { { "h.example", 12.5, 0.25 } } };
     auto read = decodeDatagram(encodeDatagram({ "n1", hello }, now), later);
     REQUIRE(read);
     CHECK(std::get<node_hello>(read->content).viewDigest == 99);
+    REQUIRE(std::get<node_hello>(read->content).demands.size() == 1);
+    CHECK(std::get<node_hello>(read->content).demands.front().host == "h.example");
+    CHECK(std::get<node_hello>(read->content).demands.front().requestsPerSecond == doctest::Approx(12.5));
 
     auto outcomes = std::vector<peer_outcome> { { "i-1", 5, true, now - milliseconds(40) } };
     read = decodeDatagram(encodeDatagram({ "n1", outcomes }, now), later);
