Gateway: answers need the id of their request; bytes of targets without end are bounded

Cause: an answer without Request-Id was taken for the answer of whatever request was open, so a late copy on a reused connection could reach the next caller. Interim answers were skipped until the deadline, and up to 64 MiB of an answer were buffered, on machines of 160 MB.

Past a bound the caller gets 502 and the target's estimate a failure.

Tests: target_bytes_test, both cases red on the code before (the late copy was delivered; endless interim answers lasted until the deadline). caller_pipeline_test: the case of a caller that leaves failed once beside builds; 18,951 bytes were not acknowledged when it closed, so the close could not reach the node.

--- a/fakes/fake_gateway_target.cpp
+++ b/fakes/fake_gateway_target.cpp
@@ -23,6 +23,22 @@
             + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
+    // The bytes that an endless answer begins with, and those that are repeated. Empty for other behaviours.
+    auto endlessBytes(target_behaviour behaviour) -> std::pair<std::string, std::string>
+    {
+        auto begin = std::string("HTTP/1.1 200 X\r\n");
+        switch (behaviour) {
+        case target_behaviour::EndlessInterim:
+            return { "HTTP/1.1 100 X\r\n\r\n", "HTTP/1.1 100 X\r\n\r\n" };
+        case target_behaviour::EndlessHead:
+            return { begin, "Field: value\r\n" };
+        case target_behaviour::EndlessBody:
+            return { begin + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + std::string(0x10000, 'x') + "\r\n" };
+        default:
+            return {};
+        }
+    }
+
 } // namespace
 
 fake_gateway_target::fake_gateway_target(const std::string& address, std::string id)
@@ -98,12 +114,12 @@
         auto send = [&](const std::string& text) { asio::write(socket, asio::buffer(text), error); };
         auto behaviour = m_behaviour.load();
         if (request["Target-Instance"] != m_id) {
-            send("HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n");
+            send("HTTP/1.1 421 X\r\nRequest-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
             continue;
         }
         if (behaviour == target_behaviour::Sheds) {
             recordArrival(id, false);
-            send("HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            send("HTTP/1.1 503 X\r\nRequest-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             continue;
         }
         recordArrival(id, true);
@@ -116,6 +132,14 @@
         auto answer = makeAnswer(serviceTime > limit ? 504 : behaviour == target_behaviour::Fails ? 500
                                                                                                   : 200,
             id, m_id);
+        if (auto endless = endlessBytes(behaviour); !endless.first.empty()) {
+            send(endless.first);
+            while (!error)
+                send(endless.second);
+            break;
+        }
+        if (behaviour == target_behaviour::AnswersWithoutId)
+            send("HTTP/1.1 200 X\r\nUpstream-Signature: s\r\nContent-Length: 9\r\n\r\nlate copy");
         if (behaviour == target_behaviour::AnswersOtherRequest)
             send(makeAnswer(200, "another", "another"));
         if (behaviour == target_behaviour::Drops || behaviour == target_behaviour::Cuts) {
--- a/fakes/fake_gateway_target.h
+++ b/fakes/fake_gateway_target.h
@@ -25,6 +25,12 @@
     AnswersOtherRequest,
     /// Closes the connection in the middle of its answer.
     Cuts,
+    /// Sends a late copy of another answer, without an id, before the right one.
+    AnswersWithoutId,
+    /// Runs the request and sends interim answers, one header field after the other, or a body, until the caller closes.
+    EndlessInterim,
+    EndlessHead,
+    EndlessBody,
 };
 
 /// A request that a fake target received.
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -3,6 +3,7 @@
 #include "gypsumhub/config/gateway_settings.h"
 #include "gypsumhub/config/route_table.h"
 #include "gypsumhub/core/random_generator.h"
+#include "gypsumhub/decision/selection/buffer_budget.h"
 #include "gypsumhub/decision/selection/demand_meter.h"
 #include "gypsumhub/decision/selection/load_balancer.h"
 #include "gypsumhub/decision/selection/membership_view.h"
@@ -22,6 +23,9 @@
 
 namespace gypsumhub {
 
+/// Memory of the answers that a node receives at the same time, a third of the smallest machine's.
+constexpr auto maxAnswerMemory = size_t { 48 * 1024 * 1024 };
+
 /// A request in flight at a target.
 struct active_attempt {
     std::shared_ptr<target_state> target;
@@ -60,6 +64,8 @@
     registration_view view;
     /// When the view was last known to match the store.
     time_point viewConfirmedAt {};
+    /// Before the members that hold connections.
+    buffer_budget answerBudget { maxAnswerMemory };
     target_connection_pool connections;
     demand_meter demand;
     std::list<active_attempt> attempts;
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -3,6 +3,7 @@
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/decision/selection/start_hold.h"
 #include "gypsumhub/gateway/outbound_head.h"
+#include "gypsumhub/gateway/request_target.h"
 #include "gypsumhub/platform/wire_names.h"
 #include "gypsumhub/proxy/message_fields.h"
 
@@ -39,16 +40,6 @@
         return { static_cast<int64_t>(static_cast<double>(length.ns) * factor) };
     }
 
-    auto hostOf(std::string_view field) -> std::string_view
-    {
-        return field.substr(0, field.find(':'));
-    }
-
-    auto withoutQuery(std::string_view target) -> std::string_view
-    {
-        return target.substr(0, target.find('?'));
-    }
-
 } // namespace
 
 request_handler::request_handler(gateway_context& context, inbound_message request, time_point arrivedAt)
@@ -65,7 +56,7 @@
 auto request_handler::findRoute() -> void
 {
     m_routes = m_context.routes;
-    m_route = m_routes ? m_routes->find(hostOf(m_request[http::field::host]), withoutQuery(m_request.target())) : nullptr;
+    m_route = m_routes ? m_routes->find(hostOf(m_request[http::field::host]), pathOf(m_request.target())) : nullptr;
 }
 
 auto request_handler::run() -> task<caller_reply>
@@ -193,7 +184,7 @@
     auto now = bootClockNow();
     if (auto connection = m_context.connections.acquire(target.registration.id, m_route->isRetryable, now))
         co_return connection;
-    auto connection = std::make_shared<target_http_connection>(m_context.io);
+    auto connection = std::make_shared<target_http_connection>(m_context.io, m_context.answerBudget);
     m_connection = connection;
     ++m_context.counters.newConnections;
     auto isOpen = co_await connection->connect(target.registration.address, std::min(targetDeadline(), now + connectTimeout));
--- a/gypsumhub/gateway/target_http_connection.cpp
+++ b/gypsumhub/gateway/target_http_connection.cpp
@@ -14,7 +14,9 @@
 
 namespace {
 
-    constexpr auto maxAnswerBytes = uint64_t { 64 * 1024 * 1024 };
+    constexpr auto maxAnswerBytes = uint64_t { 16 * 1024 * 1024 };
+    // A target that sends more interim (1xx) answers than this to one request does not send a final one.
+    constexpr auto maxInterimAnswers = 8;
     // After more answers to other requests than this, the expected answer is not going to arrive.
     constexpr auto maxStrayAnswers = 3;
 
@@ -33,8 +35,9 @@
 
 } // namespace
 
-target_http_connection::target_http_connection(asio::io_context& context)
+target_http_connection::target_http_connection(asio::io_context& context, buffer_budget& budget)
     : m_context(context)
+    , m_budget(budget)
     , m_socket(context.get_executor())
     , m_timer(context.get_executor())
 {
@@ -99,8 +102,8 @@
                                                                                  : exchange_end::Lost;
             break;
         }
-        auto id = result.answer[wire_names::requestId];
-        if (id.empty() || id == request.id) {
+        // Targets repeat the id of the request. Any other answer is a late copy of an earlier one.
+        if (result.answer[wire_names::requestId] == request.id) {
             result.end = exchange_end::Answered;
             m_isReusable = m_isReusable && stray == 0;
             break;
@@ -120,13 +123,16 @@
 
 auto target_http_connection::readAnswer(const outbound_request& request, exchange_result& result) -> task<bool>
 {
-    for (;;) {
+    for (auto interim = 0; interim <= maxInterimAnswers; ++interim) {
         auto parser = http::response_parser<http::string_body> {};
         parser.body_limit(maxAnswerBytes);
         parser.skip(request.isHead);
-        auto [error, read] = co_await http::async_read(m_socket, m_buffer, parser, useTask);
-        if (error || !parser.is_done())
-            co_return false;
+        auto reservation = buffer_budget::reservation(m_budget);
+        while (!parser.is_done()) {
+            auto [error, read] = co_await http::async_read_some(m_socket, m_buffer, parser, useTask);
+            if (error || !reservation.resize(parser.get().body().size()))
+                co_return false;
+        }
         // Skips interim (1xx) answers.
         if (parser.get().result_int() / 100 == 1)
             continue;
@@ -135,6 +141,7 @@
         recordKeepAlive(result.answer, keepAlive);
         co_return true;
     }
+    co_return false;
 }
 
 auto target_http_connection::recordKeepAlive(const http::response<http::string_body>& answer, bool keepAlive) -> void
--- a/gypsumhub/gateway/target_http_connection.h
+++ b/gypsumhub/gateway/target_http_connection.h
@@ -3,6 +3,7 @@
 #include "gypsumhub/config/configuration.h"
 #include "gypsumhub/core/asio_types.h"
 #include "gypsumhub/core/deadline_timer.h"
+#include "gypsumhub/decision/selection/buffer_budget.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <memory>
@@ -40,11 +41,11 @@
 /// One HTTP connection to a target. Carries one exchange at a time.
 class target_http_connection : public std::enable_shared_from_this<target_http_connection> {
 public:
-    explicit target_http_connection(asio::io_context&);
+    target_http_connection(asio::io_context&, buffer_budget&);
 
     /// Opens the connection. Returns whether it is open by `deadline`.
     auto connect(const endpoint&, time_point deadline) -> task<bool>;
-    /// Sends a request and reads the complete answer. Skips answers with the id of another request.
+    /// Sends a request and reads the complete answer. Skips answers without the id of the request.
     auto exchange(const outbound_request&, time_point deadline) -> task<exchange_result>;
     /// Aborts the current connect or exchange. The result of an exchange is `Abandoned`.
     auto abandon() -> void;
@@ -63,6 +64,7 @@
     auto recordKeepAlive(const http::response<http::string_body>&, bool keepAlive) -> void;
 
     asio::io_context& m_context;
+    buffer_budget& m_budget;
     tcp_socket m_socket;
     deadline_timer m_timer;
     beast::flat_buffer m_buffer;
--- a/unit_tests/gateway/raw_caller.h
+++ b/unit_tests/gateway/raw_caller.h
@@ -4,7 +4,9 @@
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <linux/sockios.h>
 #include <string>
+#include <sys/ioctl.h>
 #include <vector>
 
 namespace gypsumhub {
@@ -51,6 +53,14 @@
         asio::write(m_socket, asio::buffer(bytes), ignored);
     }
 
+    /// Bytes that the node has not acknowledged yet. A close reaches it only behind them.
+    auto unacknowledgedBytes() -> int
+    {
+        auto bytes = 0;
+        ::ioctl(m_socket.native_handle(), SIOCOUTQ, &bytes);
+        return bytes;
+    }
+
     auto close() -> void { m_socket.close(); }
 
     /// Reads the next answer. Status 0 means that the connection ended first; `endedCleanly` then tells how.
