Gateway: the next reader takes over alone

Change: a reader whose call to the store failed reports it in a hello at once, so the next node reads before other views are stale; all but the next in line wait half a second longer, and the first nodes of other data centres too.

--- a/gypsumhub/decision/selection/membership_view.cpp
+++ b/gypsumhub/decision/selection/membership_view.cpp
@@ -15,6 +15,8 @@
     // Failover: when the last contact of the designated reader with the store is older, the next node takes over.
     constexpr auto readerViewAgeLimit = milliseconds(1300);
     static_assert(watch_timing::maxViewAge < readerViewAgeLimit, "a reader would lose its role whenever no registration changes for a second");
+    // Time for the next reader to read the store and to send its first hello.
+    constexpr auto takeoverTime = milliseconds(500);
     // Registrations that arrive through a remote upstream are older by one hello interval.
     constexpr auto relayedReaderViewAgeLimit = milliseconds(1800);
     // Delays of calls to the store are compared in steps of this size: the store is in another region when it is a step further away.
@@ -175,9 +177,16 @@
     return other.hasHello && other.hello.isReady && !other.hello.isLeaving && now <= other.helloReceivedAt + helloTimeout;
 }
 
-auto membership_view::maxReaderViewAge() const -> duration
+auto membership_view::maxReaderViewAge(time_point now) const -> duration
 {
-    return hasPrecedingDataCentre() ? relayedReaderViewAgeLimit : readerViewAgeLimit;
+    auto limit = hasPrecedingDataCentre() ? relayedReaderViewAgeLimit : readerViewAgeLimit;
+    auto preceding = 0;
+    for (auto& [name, other] : m_nodes) {
+        if (name >= m_own.name || preceding == 2)
+            break;
+        preceding += other.registration.dataCentre == m_own.dataCentre && isActive(other, now) ? 1 : 0;
+    }
+    return preceding < 2 ? limit : limit + takeoverTime;
 }
 
 auto membership_view::isPrecedingReader(const node& other, duration maxViewAge, time_point now) const -> bool
@@ -192,7 +201,7 @@
 
 auto membership_view::localReader(time_point now) const -> const node_hello*
 {
-    auto maxViewAge = maxReaderViewAge();
+    auto maxViewAge = maxReaderViewAge(now);
     for (auto& [name, other] : m_nodes) {
         if (isPrecedingReader(other, maxViewAge, now))
             return &other.hello;
@@ -233,7 +242,7 @@
 
 auto membership_view::remoteUpstream(time_point now) const -> const node_hello*
 {
-    auto isUsable = [&](const node& other) { return isActive(other, now) && other.hello.viewAge < readerViewAgeLimit; };
+    auto isUsable = [&](const node& other) { return isActive(other, now) && other.hello.viewAge < readerViewAgeLimit + takeoverTime; };
     for (auto& dataCentre : dataCentreOrder()) {
         if (dataCentre == m_own.dataCentre)
             return nullptr;
@@ -253,7 +262,7 @@
 
 auto membership_view::watchesConfiguration(time_point now) const -> bool
 {
-    auto precedingReaders = std::ranges::count_if(m_nodes, [&, maxViewAge = maxReaderViewAge()](auto& entry) { return isPrecedingReader(entry.second, maxViewAge, now); });
+    auto precedingReaders = std::ranges::count_if(m_nodes, [&, maxViewAge = maxReaderViewAge(now)](auto& entry) { return isPrecedingReader(entry.second, maxViewAge, now); });
     return precedingReaders == 0 ? !remoteUpstream(now) : precedingReaders == 1 && !hasPrecedingDataCentre();
 }
 
--- a/gypsumhub/decision/selection/membership_view.h
+++ b/gypsumhub/decision/selection/membership_view.h
@@ -30,6 +30,9 @@
     node_size size;
 };
 
+/// The view age in the hello of a reader that the store does not serve. The next node takes over without waiting.
+constexpr auto unservedReaderViewAge = seconds(60);
+
 /// The heartbeat that a node sends to the other nodes of its data centre several times a second.
 struct node_hello {
     std::string name;
@@ -108,8 +111,9 @@
     auto demandedSize(std::string_view host, time_point now) const -> node_size;
     /// Whether a recent hello of the node reports it as ready and not leaving.
     auto isActive(const node&, time_point now) const -> bool;
-    /// Staleness bound: a node with an older view is not a reader for its data centre.
-    auto maxReaderViewAge() const -> duration;
+    /// Staleness bound: a node with an older view is not a reader for its data centre. Larger for all but the next in line, so that it
+    /// takes over alone when the views of a whole fleet grow stale at the same moment.
+    auto maxReaderViewAge(time_point now) const -> duration;
     /// Whether the node reads for this data centre and precedes this node in it, by name.
     auto isPrecedingReader(const node&, duration maxViewAge, time_point now) const -> bool;
     /// The data centres with a registered node, by the distance from the store and then by name, the same on every node with the same
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -155,8 +155,10 @@
     m_context.memberView.setOwnState(isReady(), m_context.shutdown.hasBegun());
     auto demands = m_context.demand.demands(now);
     m_context.memberView.setOwnDemands(demands);
+    auto isUnservedReader = m_watcher.isStoreLost() && m_context.memberView.isReader(now);
+    auto viewAge = isUnservedReader ? unservedReaderViewAge : now - m_context.viewConfirmedAt;
     auto hello = node_hello { m_context.settings.name, isReady(), m_context.shutdown.hasBegun(), m_context.routes ? m_context.routes->version() : 0,
-        m_context.view.digest(), now - m_context.viewConfirmedAt, m_watcher.nodesDigest(), std::move(demands) };
+        m_context.view.digest(), viewAge, m_watcher.nodesDigest(), std::move(demands) };
     m_peers.send({ m_context.settings.name, hello }, m_context.memberView.recipients(now));
 }
 
--- a/gypsumhub/gateway/store_access.h
+++ b/gypsumhub/gateway/store_access.h
@@ -21,6 +21,8 @@
     /// Records the status of a call to the store, and logs when the connection to the store is lost or regained. Returns whether the
     /// call succeeded.
     auto recordCall(std::string_view call, keyspace_status) -> bool;
+    /// Whether the last call to the store failed.
+    auto isStoreLost() const -> bool { return m_isStoreLost; }
     /// Waits for about the given time, with jitter so that nodes that failed together do not retry together.
     auto pause(duration) -> task<>;
     /// Waits after a failed call, longer the longer the outage lasts: refused calls cost the store as much as others.
--- a/gypsumhub/gateway/store_watcher.h
+++ b/gypsumhub/gateway/store_watcher.h
@@ -24,6 +24,7 @@
     auto tick() -> void { m_targets.tick(); }
     /// This node's copy of the entries that another node lacks. Returns nullopt for a prefix that this node does not hold.
     auto listFor(const listing_query&) const -> std::optional<key_listing>;
+    auto isStoreLost() const -> bool { return m_access.isStoreLost(); }
     auto nodesDigest() const -> uint64_t { return m_nodes.digest(); }
 
 private:
--- a/gypsumhub/gateway/target_watcher.cpp
+++ b/gypsumhub/gateway/target_watcher.cpp
@@ -112,6 +112,8 @@
     auto watched = co_await m_access.store().follow(std::string(wire_names::targetPrefix), m_revision, bootClockNow() + watch_timing::maxWait);
     if (!m_access.recordCall("registrations", watched.status)) {
         m_revision = 0;
+        // The hello lets the next node take over.
+        m_listeners.progress();
         co_return false;
     }
     m_revision = watched.value.revision;
--- a/unit_tests/decision/selection/membership_view_test.cpp
+++ b/unit_tests/decision/selection/membership_view_test.cpp
@@ -290,3 +290,34 @@
     // Nodes that no longer send hellos do not count.
     CHECK(memberView.group("h.example", "a1", goal, at(5'000)).size() == 1);
 }
+
+TEST_CASE("when the reader loses the store and all views grow stale at once, the next node takes over alone")
+{
+    constexpr auto nodes = 55;
+    auto nameOf = [](int index) { return "n" + std::to_string(100 + index); };
+    auto readersAt = [&](duration viewAge, duration firstViewAge) {
+        auto readers = 0, watchers = 0;
+        for (auto own = 0; own < nodes; ++own) {
+            auto memberView = membership_view(makeNode(nameOf(own)));
+            memberView.setOwnState(true, false);
+            for (auto other = 0; other < nodes; ++other) {
+                if (other == own)
+                    continue;
+                memberView.recordRegistration(makeNode(nameOf(other)));
+                auto hello = makeHello(nameOf(other));
+                hello.viewAge = other == 0 ? firstViewAge : viewAge;
+                memberView.recordHello(hello, at(0));
+            }
+            readers += memberView.isReader(at(100)) ? 1 : 0;
+            watchers += memberView.watchesConfiguration(at(100)) ? 1 : 0;
+        }
+        return std::pair(readers, watchers);
+    };
+    // The reader's calls time out: it and the next one read until the next one has sent its hello.
+    CHECK(readersAt(milliseconds(1'400), milliseconds(1'400)).first == 2);
+    // The reader reports that the store refuses it, before the other views are stale.
+    CHECK(readersAt(milliseconds(300), unservedReaderViewAge).first == 2);
+    CHECK(readersAt(milliseconds(300), unservedReaderViewAge).second == 3);
+    // Nobody took over in time.
+    CHECK(readersAt(milliseconds(1'900), milliseconds(1'900)).first == nodes);
+}
