Gateway tests: answers that break off in chunks or by a reset

Three more ways to break off an answer: before the last chunk, with a chunk size that is no number, by resetting an answer without a length. None reached the caller as a success on this code; each ran once and was answered 502. The stand-in closes its sockets explicitly now: the destructor of an Asio socket ignores the linger option, so the first version ended in order instead of resetting, and that complete answer was rightly passed on.

--- a/fakes/fake_gateway_target.cpp
+++ b/fakes/fake_gateway_target.cpp
@@ -39,6 +39,22 @@
         }
     }
 
+    // An answer that breaks off; empty for other behaviours.
+    auto brokenBytes(target_behaviour behaviour, const std::string& id) -> std::string
+    {
+        auto head = "HTTP/1.1 200 X\r\nRequest-Id: " + id + "\r\nUpstream-Signature: s\r\n";
+        switch (behaviour) {
+        case target_behaviour::CutsChunks:
+            return head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+        case target_behaviour::SpoilsChunk:
+            return head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nzz\r\n";
+        case target_behaviour::ResetsUnframed:
+            return head + "\r\nhalf";
+        default:
+            return {};
+        }
+    }
+
 } // namespace
 
 fake_gateway_target::fake_gateway_target(const std::string& address, std::string id)
@@ -138,6 +154,15 @@
                 send(endless.second);
             break;
         }
+        if (auto broken = brokenBytes(behaviour, id); !broken.empty()) {
+            send(broken);
+            if (behaviour == target_behaviour::ResetsUnframed) {
+                // Lets the bytes arrive before the reset discards them.
+                std::this_thread::sleep_for(std::chrono::milliseconds(50));
+                socket.set_option(asio::socket_base::linger(true, 0), error);
+            }
+            break;
+        }
         if (behaviour == target_behaviour::AnswersWithoutId)
             send("HTTP/1.1 200 X\r\nUpstream-Signature: s\r\nContent-Length: 9\r\n\r\nlate copy");
         if (behaviour == target_behaviour::AnswersOtherRequest)
@@ -154,6 +179,9 @@
     // Removed before the descriptor is closed, since a new socket may reuse its number.
     auto lock = std::lock_guard(m_mutex);
     std::erase(m_sockets, socket.native_handle());
+    // The destructor of a socket ignores its linger option.
+    auto ignored = boost::system::error_code {};
+    socket.close(ignored);
 }
 
 } // namespace gypsumhub
--- a/fakes/fake_gateway_target.h
+++ b/fakes/fake_gateway_target.h
@@ -31,6 +31,11 @@
     EndlessInterim,
     EndlessHead,
     EndlessBody,
+    /// Runs the request and breaks off its answer: before the last chunk, with a chunk size that is no number, or by resetting an answer
+    /// without a length.
+    CutsChunks,
+    SpoilsChunk,
+    ResetsUnframed,
 };
 
 /// A request that a fake target received.
--- a/unit_tests/gateway/target_bytes_test.cpp
+++ b/unit_tests/gateway/target_bytes_test.cpp
@@ -13,6 +13,18 @@
     CHECK(fleet.executionsOf("no-id") == 1);
 }
 
+TEST_CASE("an answer that breaks off does not reach the caller as a success, and the request is neither run again nor called not run")
+{
+    auto fleet = gateway_fixture {};
+    for (auto behaviour : { target_behaviour::CutsChunks, target_behaviour::SpoilsChunk, target_behaviour::ResetsUnframed }) {
+        fleet.setBehaviour(behaviour);
+        auto id = "broken-" + std::to_string(static_cast<int>(behaviour));
+        CAPTURE(id);
+        CHECK(sendRequest(gateway_fixture::callerAddress(0), http::verb::post, "/unsafe/", id).status == 502);
+        CHECK(fleet.executionsOf(id) == 1);
+    }
+}
+
 TEST_CASE("a target that sends interim answers, a head or a body without end is given up before the deadline, and others are served")
 {
     auto fleet = gateway_fixture {};
