Decision: detector of requests that crash their targets

No node knew of the crashes that others had seen.

poison_request_detector merges the crash reports of all nodes, charges each crash to the requests in flight that explain it best and quarantines a request after three charged crashes. It is not wired up yet.

A crash explains its neighbours away only through a request whose crashes are more than 150 ms apart. Two poison requests whose crashes all fall within 150 ms are therefore found only after a later crash.

--- /dev/null
+++ b/unit_tests/decision/selection/poison_request_detector_test.cpp
@@ -0,0 +1,392 @@
+#include "gypsumhub/decision/selection/poison_request_detector.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <random>
+
+using namespace gypsumhub;
+
+namespace {
+
+using detector = poison_request_detector;
+
+auto at(int64_t ms) -> time_point
+{
+    return time_point {} + milliseconds(ms);
+}
+
+/// When all crashes up to `ms` are evaluated.
+auto settled(int64_t ms) -> time_point
+{
+    return at(ms) + detector::settleTime + detector::evaluationInterval;
+}
+
+auto request(uint64_t number) -> request_fingerprint
+{
+    return { number * 0x9e3779b97f4a7c15U, number };
+}
+
+const auto poison = request(1);
+const auto otherPoison = request(2);
+const auto popular = request(3);
+
+/// An honest request that occurs once.
+auto unique() -> request_fingerprint
+{
+    static auto next = uint64_t { 1'000 };
+    return request(++next);
+}
+
+auto makeCrash(int64_t ms, std::vector<request_fingerprint> inFlight, std::string service = "rosterview") -> crash_report
+{
+    static auto next = uint64_t { 0 };
+    return { "i-" + std::to_string(++next), 1, std::move(service), at(ms), std::move(inFlight) };
+}
+
+/// Records each report when the crash happens.
+auto recordAll(detector& recording, const std::vector<crash_report>& reports) -> void
+{
+    for (auto& report : reports)
+        recording.recordCrash(report, report.at);
+}
+
+auto holdsAny(detector& asked, const std::vector<crash_report>& reports, time_point now, const request_fingerprint& except) -> bool
+{
+    for (auto& report : reports) {
+        for (auto& fingerprint : report.inFlight) {
+            if (fingerprint != except && asked.quarantinedUntil(fingerprint, now))
+                return true;
+        }
+    }
+    return false;
+}
+
+/// The service's eight targets end at once.
+auto makeOutage(int64_t ms, size_t targetsWithPopular) -> std::vector<crash_report>
+{
+    auto reports = std::vector<crash_report> {};
+    for (auto index = size_t { 0 }; index < 8; ++index) {
+        auto inFlight = std::vector { unique(), unique() };
+        if (index < targetsWithPopular)
+            inFlight.push_back(popular);
+        reports.push_back(makeCrash(ms, inFlight));
+    }
+    return reports;
+}
+
+} // namespace
+
+TEST_CASE("a request that crashed three targets is not sent to a fourth, and the requests beside it are")
+{
+    auto tested = detector {};
+    CHECK(tested.isEmpty());
+    auto reports = std::vector { makeCrash(0, { poison, unique() }), makeCrash(1'000, { poison, unique() }) };
+    recordAll(tested, reports);
+    CHECK_FALSE(tested.quarantinedUntil(poison, settled(1'000)));
+    CHECK(tested.isSuspect(poison, settled(1'000)));
+    CHECK_FALSE(tested.isSuspect(reports.front().inFlight.back(), settled(1'000)));
+    reports.push_back(makeCrash(2'000, { unique(), poison }));
+    tested.recordCrash(reports.back(), at(2'000));
+    CHECK_FALSE(tested.quarantinedUntil(poison, at(2'149)));
+    CHECK(tested.quarantinedUntil(poison, at(2'150)) == at(2'150) + detector::quarantineTime);
+    CHECK_FALSE(holdsAny(tested, reports, settled(2'000), poison));
+}
+
+TEST_CASE("three reports about one incarnation of a target count as one crash")
+{
+    auto tested = detector {};
+    auto first = makeCrash(0, { poison });
+    recordAll(tested, { first, first, makeCrash(1'000, { poison }) });
+    auto later = first;
+    later.at = at(100);
+    later.inFlight = { popular };
+    tested.recordCrash(later, at(1'100));
+    CHECK(tested.crashCount() == 2);
+    CHECK_FALSE(tested.quarantinedUntil(poison, settled(1'100)));
+    later.incarnation = 2;
+    later.at = at(2'000);
+    later.inFlight = { poison };
+    tested.recordCrash(later, at(2'000));
+    CHECK(tested.quarantinedUntil(poison, settled(2'000)));
+}
+
+TEST_CASE("a burst of copies that crashes eight targets within a second is known from the first three")
+{
+    for (auto step : { 0, 20, 125 }) {
+        CAPTURE(step);
+        auto reports = std::vector<crash_report> {};
+        for (auto index = 0; index < 8; ++index)
+            reports.push_back(makeCrash(index * step, { unique(), poison, unique(), unique() }));
+        auto counted = 0;
+        for (auto isKnown = false; !isKnown && counted < 8;) {
+            ++counted;
+            auto tested = detector {};
+            recordAll(tested, { reports.begin(), reports.begin() + counted });
+            isKnown = tested.quarantinedUntil(poison, settled(counted * step)).has_value();
+        }
+        CHECK(counted <= 3);
+        auto tested = detector {};
+        recordAll(tested, reports);
+        CHECK(tested.quarantinedUntil(poison, settled(1'000)));
+        CHECK_FALSE(holdsAny(tested, reports, settled(1'000), poison));
+    }
+}
+
+TEST_CASE("an outage of a service does not hold back a popular request that was in flight at three of its targets")
+{
+    auto tested = detector {};
+    auto reports = makeOutage(1'000, 3);
+    recordAll(tested, reports);
+    CHECK_FALSE(tested.quarantinedUntil(popular, settled(1'000)));
+    CHECK_FALSE(tested.isSuspect(popular, settled(1'000)));
+    CHECK_FALSE(holdsAny(tested, reports, settled(1'000), poison));
+}
+
+TEST_CASE("an outage of a service does not hold back two popular requests that were in flight at half of its targets each")
+{
+    auto tested = detector {};
+    for (auto index = 0; index < 8; ++index)
+        tested.recordCrash(makeCrash(index * 10, { index < 4 ? popular : poison }), at(index * 10));
+    CHECK_FALSE(tested.quarantinedUntil(popular, settled(1'000)));
+    CHECK_FALSE(tested.quarantinedUntil(poison, settled(1'000)));
+}
+
+TEST_CASE("an outage of a service does not hold back a proven request that was in flight at all its targets")
+{
+    auto tested = detector {};
+    CHECK_FALSE(tested.recordSuccess(popular, at(0)));
+    CHECK(tested.isProven(popular, at(59'000)));
+    CHECK_FALSE(tested.isProven(popular, at(60'000)));
+    CHECK(tested.isEmpty());
+    recordAll(tested, makeOutage(1'000, 8));
+    CHECK_FALSE(tested.quarantinedUntil(popular, settled(1'000)));
+    CHECK(tested.hasCrashes());
+}
+
+TEST_CASE("targets that end idle show that an outage is not due to the requests at the others")
+{
+    auto tested = detector {};
+    recordAll(tested, { makeCrash(0, { popular }), makeCrash(0, { popular }), makeCrash(10, { popular }), makeCrash(20, {}) });
+    CHECK_FALSE(tested.quarantinedUntil(popular, settled(20)));
+    CHECK_FALSE(tested.isSuspect(popular, settled(20)));
+}
+
+TEST_CASE("a crash of another service at the same time does not hide a poison request")
+{
+    auto tested = detector {};
+    for (auto ms : { 0, 1'000, 2'000 })
+        recordAll(tested, { makeCrash(ms, { poison }), makeCrash(ms, { unique() }, "bookdesk") });
+    CHECK(tested.quarantinedUntil(poison, settled(2'000)));
+}
+
+TEST_CASE("two outages a second apart do not hold back the requests that met both")
+{
+    auto tested = detector {};
+    auto reports = makeOutage(1'000, 3);
+    for (auto& report : makeOutage(2'000, 3))
+        reports.push_back(report);
+    // A request that was retried after the first outage.
+    reports[9].inFlight.push_back(reports[1].inFlight.front());
+    recordAll(tested, reports);
+    CHECK_FALSE(holdsAny(tested, reports, settled(2'000), poison));
+    CHECK_FALSE(tested.isSuspect(popular, settled(2'000)));
+}
+
+TEST_CASE("two poison requests at the same time do not hide each other")
+{
+    auto tested = detector {};
+    auto reports = std::vector<crash_report> {};
+    for (auto index = 0; index < 3; ++index) {
+        reports.push_back(makeCrash(index * 200, { poison, unique() }));
+        reports.push_back(makeCrash(index * 200 + 70, { otherPoison, unique() }));
+    }
+    recordAll(tested, reports);
+    CHECK(tested.quarantinedUntil(poison, settled(470)));
+    CHECK(tested.quarantinedUntil(otherPoison, settled(470)));
+    CHECK(tested.quarantinedCount() == 2);
+}
+
+TEST_CASE("a rack outage during a burst holds back the poison request after three crashes outside it and no other")
+{
+    auto tested = detector {};
+    auto reports = std::vector<crash_report> {};
+    for (auto ms = 0; ms <= 800; ms += 100)
+        reports.push_back(makeCrash(ms, { poison, unique(), unique() }));
+    for (auto index = 0; index < 4; ++index)
+        reports.push_back(makeCrash(250, { unique(), unique(), index < 3 ? popular : unique() }));
+    recordAll(tested, { reports.begin(), reports.begin() + 6 });
+    recordAll(tested, { reports.begin() + 9, reports.end() });
+    // Crashes at 0 ms and 500 ms count.
+    CHECK(tested.isSuspect(poison, settled(500)));
+    CHECK_FALSE(tested.quarantinedUntil(poison, settled(500)));
+    recordAll(tested, { reports.begin() + 6, reports.begin() + 9 });
+    CHECK(tested.quarantinedUntil(poison, settled(800)));
+    CHECK_FALSE(holdsAny(tested, reports, settled(800), poison));
+}
+
+TEST_CASE("a request that shared targets with a poison request is not held back when that one crashed more")
+{
+    for (auto shared : { 2, 3 }) {
+        CAPTURE(shared);
+        auto tested = detector {};
+        auto honest = unique();
+        for (auto index = 0; index < 4; ++index) {
+            auto inFlight = std::vector { poison, unique() };
+            if (index < shared)
+                inFlight.push_back(honest);
+            tested.recordCrash(makeCrash(index * 40, inFlight), at(index * 40));
+        }
+        CHECK(tested.quarantinedUntil(poison, settled(1'000)));
+        CHECK_FALSE(tested.quarantinedUntil(honest, settled(1'000)));
+        // A later crash with both is charged to the one that is held back.
+        for (auto ms : { 2'000, 3'000 })
+            tested.recordCrash(makeCrash(ms, { poison, honest }), at(ms));
+        CHECK_FALSE(tested.quarantinedUntil(honest, settled(3'000)));
+        CHECK_FALSE(tested.isSuspect(honest, settled(3'000)));
+    }
+}
+
+TEST_CASE("a request that shared all recorded targets with one that a peer holds back is not blamed")
+{
+    auto tested = detector {};
+    auto honest = unique();
+    tested.recordQuarantine({ poison, at(60'000) }, at(0));
+    recordAll(tested, { makeCrash(0, { poison, honest }), makeCrash(1'000, { poison, honest }), makeCrash(2'000, { poison, honest }) });
+    CHECK_FALSE(tested.quarantinedUntil(honest, settled(2'000)));
+    CHECK_FALSE(tested.isSuspect(honest, settled(2'000)));
+}
+
+TEST_CASE("a request that a target answered is not blamed, nor is one that another node saw answered")
+{
+    auto tested = detector {}, peer = detector {};
+    auto reports = std::vector { makeCrash(0, { popular }), makeCrash(1'000, { popular }) };
+    for (auto* each : { &tested, &peer }) {
+        recordAll(*each, reports);
+        CHECK(each->isSuspect(popular, settled(1'000)));
+    }
+    CHECK(tested.recordSuccess(popular, at(1'500)));
+    CHECK_FALSE(tested.recordSuccess(popular, at(1'500)));
+    peer.recordExoneration(popular, at(1'510));
+    for (auto* each : { &tested, &peer }) {
+        CHECK_FALSE(each->isSuspect(popular, at(1'600)));
+        CHECK(each->isProven(popular, at(1'600)));
+        recordAll(*each, { makeCrash(2'000, { popular }), makeCrash(3'000, { popular }), makeCrash(4'000, { popular }) });
+        CHECK_FALSE(each->quarantinedUntil(popular, settled(4'000)));
+    }
+}
+
+TEST_CASE("a success that arrives after the third crash does not lift a quarantine")
+{
+    auto tested = detector {};
+    recordAll(tested, { makeCrash(0, { poison }), makeCrash(1'000, { poison }), makeCrash(2'000, { poison }) });
+    CHECK(tested.quarantinedUntil(poison, settled(2'000)));
+    CHECK_FALSE(tested.recordSuccess(poison, settled(2'000)));
+    tested.recordExoneration(poison, settled(2'000));
+    CHECK_FALSE(tested.isProven(poison, settled(2'000)));
+    CHECK(tested.quarantinedUntil(poison, settled(2'000)));
+}
+
+TEST_CASE("nodes that receive the same reports in any order, some twice, hold back the same requests")
+{
+    auto reports = makeOutage(400, 3);
+    for (auto index = 0; index < 6; ++index) {
+        // Two nodes had requests in flight at each target.
+        auto first = makeCrash(1'000 + index * 90, { poison, unique() });
+        auto second = first;
+        second.at = first.at + milliseconds(5);
+        second.inFlight = { unique(), index % 2 == 0 ? otherPoison : popular };
+        reports.insert(reports.end(), { first, second });
+    }
+    auto expected = std::vector<quarantined_request> {};
+    for (auto seed = 0U; seed < 50; ++seed) {
+        CAPTURE(seed);
+        auto random = std::mt19937(seed);
+        auto delivered = reports;
+        for (auto& report : reports) {
+            if (random() % 2 == 0)
+                delivered.push_back(report);
+        }
+        std::shuffle(delivered.begin(), delivered.end(), random);
+        auto tested = detector {};
+        for (auto& report : delivered)
+            tested.recordCrash(report, at(1'500));
+        auto held = tested.quarantined(settled(1'500));
+        if (seed == 0)
+            expected = held;
+        REQUIRE(held.size() == 1);
+        CHECK(held.front().fingerprint == poison);
+        CHECK(held.front().until == expected.front().until);
+    }
+}
+
+TEST_CASE("a poison request that comes back after five minutes is still held back, until ten minutes after its last copy")
+{
+    auto tested = detector {};
+    recordAll(tested, { makeCrash(0, { poison }), makeCrash(1'000, { poison }), makeCrash(2'000, { poison }) });
+    auto now = settled(2'000);
+    for (auto copy = 0; copy < 5; ++copy) {
+        CHECK(tested.quarantinedUntil(poison, now) == now + minutes(10));
+        now = now + minutes(5);
+    }
+    auto last = now - minutes(5);
+    auto peer = detector {};
+    peer.recordQuarantine(tested.quarantined(last).front(), last);
+    for (auto* each : { &tested, &peer }) {
+        CHECK(each->quarantined(last + minutes(10) - milliseconds(1)).size() == 1);
+        CHECK_FALSE(each->quarantinedUntil(poison, last + minutes(10)));
+        CHECK(each->isEmpty());
+    }
+}
+
+TEST_CASE("crashes are forgotten after ten minutes, so rare chance meetings do not add up")
+{
+    auto tested = detector {};
+    for (auto minute : { 0, 6, 12, 18 })
+        tested.recordCrash(makeCrash(minute * 60'000, { popular }), at(minute * 60'000));
+    CHECK_FALSE(tested.quarantinedUntil(popular, settled(18 * 60'000)));
+    CHECK(tested.crashCount() == 2);
+    tested.recordCrash(makeCrash(0, { popular }), settled(18 * 60'000));
+    CHECK(tested.crashCount() == 2);
+}
+
+TEST_CASE("a peer whose clock is ahead does not keep crashes beyond their time")
+{
+    auto tested = detector {};
+    tested.recordCrash(makeCrash(3'600'000, { popular }), at(0));
+    CHECK_FALSE(tested.quarantinedUntil(popular, at(0) + detector::crashRetention));
+    CHECK(tested.isEmpty());
+}
+
+TEST_CASE("a flood of crashes with new requests stays within the memory bound and lifts no quarantine")
+{
+    auto tested = detector {};
+    recordAll(tested, { makeCrash(0, { poison }), makeCrash(1'000, { poison }), makeCrash(2'000, { poison }) });
+    CHECK(tested.quarantinedUntil(poison, settled(2'000)));
+    auto most = size_t { 0 };
+    for (auto index = 0; index < 2'000; ++index) {
+        auto inFlight = std::vector<request_fingerprint> {};
+        std::generate_n(std::back_inserter(inFlight), 100, unique);
+        tested.recordCrash(makeCrash(3'000 + index * 10, std::move(inFlight)), at(3'000 + index * 10));
+        tested.isSuspect(popular, at(3'000 + index * 10));
+        most = std::max(most, tested.bytes());
+    }
+    CHECK(tested.crashCount() == detector::maxCrashes);
+    CHECK(most <= detector::maxBytes());
+    CHECK(detector::maxBytes() <= 3'000'000);
+    CHECK(tested.quarantinedCount() == 1);
+    CHECK(tested.quarantinedUntil(poison, settled(30'000)));
+}
+
+TEST_CASE("a poison request is found among more requests than are recorded of a crash")
+{
+    auto tested = detector {};
+    auto crashes = 0;
+    for (; crashes < 20 && !tested.quarantinedUntil(poison, settled(crashes * 1'000)); ++crashes) {
+        auto inFlight = std::vector { poison };
+        std::generate_n(std::back_inserter(inFlight), 99, unique);
+        tested.recordCrash(makeCrash(crashes * 1'000, std::move(inFlight)), at(crashes * 1'000));
+    }
+    CHECK(crashes < 20);
+    CHECK(tested.quarantinedCount() == 1);
+}
