Tests: stand-in targets that crash and come back

A request with Test-Crash, or a test, takes a stand-in target down: requests in flight are lost, connections reset, new ones refused, until it is restarted on its port under another id. The fixture takes a number of targets and restarts them; a raw caller may choose its address. The bytes of odd answers move to target_answer.

--- a/fakes/fake_gateway_target.cpp
+++ b/fakes/fake_gateway_target.cpp
@@ -1,5 +1,6 @@
 #include "fakes/fake_gateway_target.h"
 
+#include "fakes/target_answer.h"
 #include "gypsumhub/core/clock.h"
 
 #include <algorithm>
@@ -16,81 +17,134 @@
 
 namespace {
 
-    auto makeAnswer(unsigned status, std::string_view requestId, std::string_view target) -> std::string
+    // Closes the connection so that the peer sees a reset instead of an orderly end.
+    auto reset(asio::ip::tcp::socket& socket) -> void
     {
-        auto body = std::string("from ") + std::string(target);
-        return "HTTP/1.1 " + std::to_string(status) + " X\r\nRequest-Id: " + std::string(requestId) + "\r\nUpstream-Signature: " + std::string(target)
-            + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    }
-
-    // The bytes that an endless answer begins with, and those that are repeated. Empty for other behaviours.
-    auto endlessBytes(target_behaviour behaviour) -> std::pair<std::string, std::string>
-    {
-        auto begin = std::string("HTTP/1.1 200 X\r\n");
-        switch (behaviour) {
-        case target_behaviour::EndlessInterim:
-            return { "HTTP/1.1 100 X\r\n\r\n", "HTTP/1.1 100 X\r\n\r\n" };
-        case target_behaviour::EndlessHead:
-            return { begin, "Field: value\r\n" };
-        case target_behaviour::EndlessBody:
-            return { begin + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + std::string(0x10000, 'x') + "\r\n" };
-        default:
-            return {};
-        }
-    }
-
-    // An answer that breaks off; empty for other behaviours.
-    auto brokenBytes(target_behaviour behaviour, const std::string& id) -> std::string
-    {
-        auto head = "HTTP/1.1 200 X\r\nRequest-Id: " + id + "\r\nUpstream-Signature: s\r\n";
-        switch (behaviour) {
-        case target_behaviour::CutsChunks:
-            return head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
-        case target_behaviour::SpoilsChunk:
-            return head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nzz\r\n";
-        case target_behaviour::ResetsUnframed:
-            return head + "\r\nhalf";
-        default:
-            return {};
-        }
+        auto ignored = boost::system::error_code {};
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
     }
 
 } // namespace
 
 fake_gateway_target::fake_gateway_target(const std::string& address, std::string id)
-    : m_id(std::move(id))
-    , m_acceptor(m_context, { asio::ip::make_address(address), 0 })
-    , m_acceptThread([this] {
-        for (;;) {
-            auto error = boost::system::error_code {};
-            auto socket = m_acceptor.accept(error);
-            if (error)
-                return;
-            auto lock = std::lock_guard(m_mutex);
-            m_sockets.push_back(socket.native_handle());
-            m_connections.emplace_back([this, accepted = std::move(socket)]() mutable { serve(std::move(accepted)); });
-        }
-    })
+    : m_incarnation { std::move(id), 0 }
+    , m_reservation(m_context, asio::ip::tcp::v4())
+    , m_acceptor(m_context)
 {
+    m_reservation.set_option(asio::socket_base::reuse_address(true));
+    m_reservation.bind({ asio::ip::make_address(address), 0 });
+    listen();
 }
 
 fake_gateway_target::~fake_gateway_target()
 {
-    // Unblocks the pending accept and reads. The descriptors stay open until their threads have ended.
-    ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
-    m_acceptThread.join();
     {
+        // Unblocks the pending accept, reads and writes. The descriptors stay open until their threads have ended.
         auto lock = std::lock_guard(m_mutex);
+        goDown();
         for (auto socket : m_sockets)
             ::shutdown(socket, SHUT_RDWR);
     }
+    if (m_acceptThread.joinable())
+        m_acceptThread.join();
     for (auto& connection : m_connections)
         connection.join();
 }
 
+auto fake_gateway_target::listen() -> void
+{
+    m_acceptor = asio::ip::tcp::acceptor(m_context, m_reservation.local_endpoint());
+    m_acceptThread = std::thread([this, current = m_incarnation] { acceptConnections(current); });
+}
+
+auto fake_gateway_target::acceptConnections(const incarnation& current) -> void
+{
+    auto error = boost::system::error_code {};
+    for (;;) {
+        auto socket = m_acceptor.accept(error);
+        auto lock = std::lock_guard(m_mutex);
+        if (!error && m_incarnation.number == current.number) {
+            m_sockets.push_back(socket.native_handle());
+            m_connections.emplace_back([this, current, accepted = std::move(socket)]() mutable { serve(std::move(accepted), current); });
+            continue;
+        }
+        reset(socket);
+        m_acceptor.close(error);
+        return;
+    }
+}
+
+auto fake_gateway_target::goDown() -> void
+{
+    if (m_isDown)
+        return;
+    m_isDown = true;
+    ++m_incarnation.number;
+    m_crashTimes.push_back(bootClockNow());
+    m_wentDown.notify_all();
+    // Stops listening at once. The threads that use the descriptors close them.
+    ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+    for (auto socket : m_sockets)
+        ::shutdown(socket, SHUT_RD);
+}
+
+auto fake_gateway_target::crash() -> void
+{
+    auto lock = std::lock_guard(m_mutex);
+    goDown();
+}
+
+auto fake_gateway_target::crash(const incarnation& current) -> void
+{
+    auto lock = std::lock_guard(m_mutex);
+    if (m_incarnation.number == current.number)
+        goDown();
+}
+
+auto fake_gateway_target::restart(std::string id) -> void
+{
+    auto ended = std::thread {};
+    {
+        auto lock = std::lock_guard(m_mutex);
+        // Another call may be restarting the target already.
+        if (!m_isDown || !m_acceptThread.joinable())
+            return;
+        ended = std::move(m_acceptThread);
+    }
+    ended.join();
+    auto lock = std::lock_guard(m_mutex);
+    m_incarnation.id = std::move(id);
+    m_isDown = false;
+    listen();
+}
+
+auto fake_gateway_target::isDown() -> bool
+{
+    auto lock = std::lock_guard(m_mutex);
+    return m_isDown;
+}
+
+auto fake_gateway_target::crashes() -> int
+{
+    return static_cast<int>(crashTimes().size());
+}
+
+auto fake_gateway_target::crashTimes() -> std::vector<time_point>
+{
+    auto lock = std::lock_guard(m_mutex);
+    return m_crashTimes;
+}
+
+auto fake_gateway_target::id() -> std::string
+{
+    auto lock = std::lock_guard(m_mutex);
+    return m_incarnation.id;
+}
+
 auto fake_gateway_target::port() const -> uint16_t
 {
-    return m_acceptor.local_endpoint().port();
+    return m_reservation.local_endpoint().port();
 }
 
 auto fake_gateway_target::runs(const std::string& requestId) -> int
@@ -111,13 +165,35 @@
     return m_arrivals;
 }
 
-auto fake_gateway_target::recordArrival(const std::string& requestId, bool isRun) -> void
+auto fake_gateway_target::recordArrival(const std::string& requestId, bool isRun, const incarnation& current) -> bool
 {
     auto lock = std::lock_guard(m_mutex);
+    if (m_incarnation.number != current.number)
+        return false;
     m_arrivals.push_back({ requestId, bootClockNow(), isRun });
+    return true;
+}
+
+auto fake_gateway_target::work(std::chrono::nanoseconds time, const incarnation& current) -> bool
+{
+    auto lock = std::unique_lock(m_mutex);
+    return !m_wentDown.wait_for(lock, time, [&] { return m_incarnation.number != current.number; });
 }
 
-auto fake_gateway_target::serve(asio::ip::tcp::socket socket) -> void
+auto fake_gateway_target::serve(asio::ip::tcp::socket socket, const incarnation& current) -> void
+{
+    serveRequests(socket, current);
+    // Removed before the descriptor is closed, since a new socket may reuse its number.
+    auto lock = std::lock_guard(m_mutex);
+    std::erase(m_sockets, socket.native_handle());
+    if (m_incarnation.number != current.number)
+        return reset(socket);
+    // The destructor of a socket ignores its linger option.
+    auto ignored = boost::system::error_code {};
+    socket.close(ignored);
+}
+
+auto fake_gateway_target::serveRequests(asio::ip::tcp::socket& socket, const incarnation& current) -> void
 {
     auto buffer = boost::beast::flat_buffer {};
     for (;;) {
@@ -129,25 +205,31 @@
         auto id = std::string(request["Request-Id"]);
         auto send = [&](const std::string& text) { asio::write(socket, asio::buffer(text), error); };
         auto behaviour = m_behaviour.load();
-        if (request["Target-Instance"] != m_id) {
+        if (request["Target-Instance"] != current.id) {
             send("HTTP/1.1 421 X\r\nRequest-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
             continue;
         }
         if (behaviour == target_behaviour::Sheds) {
-            recordArrival(id, false);
+            recordArrival(id, false, current);
             send("HTTP/1.1 503 X\r\nRequest-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             continue;
         }
-        recordArrival(id, true);
+        if (!recordArrival(id, true, current))
+            break;
         auto delay = std::string(request[delayField]);
         auto serviceTime = delay.empty() ? std::chrono::nanoseconds(m_serviceTimeNs.load()) : std::chrono::nanoseconds(std::chrono::milliseconds(std::stol(delay)));
         // A target stops work when the time left that it received is over.
         auto left = std::string(request["Deadline-Ms"]);
         auto limit = std::chrono::nanoseconds(left.empty() ? std::chrono::hours(1) : std::chrono::milliseconds(std::stol(left)));
-        std::this_thread::sleep_for(std::min<std::chrono::nanoseconds>(serviceTime, limit));
+        if (!work(std::min<std::chrono::nanoseconds>(serviceTime, limit), current))
+            break;
+        if (request.count(crashField) > 0) {
+            crash(current);
+            break;
+        }
         auto answer = makeAnswer(serviceTime > limit ? 504 : behaviour == target_behaviour::Fails ? 500
                                                                                                   : 200,
-            id, m_id);
+            id, current.id);
         if (auto endless = endlessBytes(behaviour); !endless.first.empty()) {
             send(endless.first);
             while (!error)
@@ -176,12 +258,6 @@
         if (error)
             break;
     }
-    // Removed before the descriptor is closed, since a new socket may reuse its number.
-    auto lock = std::lock_guard(m_mutex);
-    std::erase(m_sockets, socket.native_handle());
-    // The destructor of a socket ignores its linger option.
-    auto ignored = boost::system::error_code {};
-    socket.close(ignored);
 }
 
 } // namespace gypsumhub
--- a/fakes/fake_gateway_target.h
+++ b/fakes/fake_gateway_target.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "fakes/target_behaviour.h"
 #include "gypsumhub/core/time_point.h"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <condition_variable>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -12,32 +15,6 @@
 
 namespace gypsumhub {
 
-/// How a fake target handles its requests.
-enum class target_behaviour : uint8_t {
-    Normal,
-    /// Answers 500.
-    Fails,
-    /// Rejects the request without running it, as a target at capacity does.
-    Sheds,
-    /// Runs the request and closes the connection without an answer.
-    Drops,
-    /// Sends an answer with the id of another request before the right one.
-    AnswersOtherRequest,
-    /// Closes the connection in the middle of its answer.
-    Cuts,
-    /// Sends a late copy of another answer, without an id, before the right one.
-    AnswersWithoutId,
-    /// Runs the request and sends interim answers, one header field after the other, or a body, until the caller closes.
-    EndlessInterim,
-    EndlessHead,
-    EndlessBody,
-    /// Runs the request and breaks off its answer: before the last chunk, with a chunk size that is no number, or by resetting an answer
-    /// without a length.
-    CutsChunks,
-    SpoilsChunk,
-    ResetsUnframed,
-};
-
 /// A request that a fake target received.
 struct recorded_request {
     std::string requestId;
@@ -50,12 +27,14 @@
 public:
     /// Header field of a request with the milliseconds that the target takes to run it, instead of the target's service time.
     static constexpr auto delayField = "Test-Delay-Ms";
+    /// Header field of a request that crashes the target once that time is over.
+    static constexpr auto crashField = "Test-Crash";
 
     fake_gateway_target(const std::string& address, std::string id);
     ~fake_gateway_target();
 
     auto port() const -> uint16_t;
-    auto id() const -> const std::string& { return m_id; }
+    auto id() -> std::string;
     auto setBehaviour(target_behaviour behaviour) -> void { m_behaviour = behaviour; }
     /// Time from receiving a request to answering it.
     auto setServiceTime(duration serviceTime) -> void { m_serviceTimeNs = serviceTime.ns; }
@@ -63,16 +42,44 @@
     /// Number of times that the target ran the request.
     auto runs(const std::string& requestId) -> int;
     auto totalRuns() -> int;
+    /// Loses all requests in flight, resets all connections and refuses new ones. No effect on a target that is down.
+    auto crash() -> void;
+    /// Listens again on the same port under a new id. No effect on a target that is up.
+    auto restart(std::string id) -> void;
+    auto isDown() -> bool;
+    auto crashes() -> int;
+    auto crashTimes() -> std::vector<time_point>;
 
 private:
-    auto recordArrival(const std::string& requestId, bool isRun) -> void;
-    auto serve(boost::asio::ip::tcp::socket) -> void;
+    /// What a connection belongs to. A crash ends the incarnation with all its connections.
+    struct incarnation {
+        std::string id;
+        int number { 0 };
+    };
+
+    auto listen() -> void;
+    auto acceptConnections(const incarnation&) -> void;
+    auto serve(boost::asio::ip::tcp::socket, const incarnation&) -> void;
+    /// Serves requests until the connection ends. An error or a crash ends it early.
+    auto serveRequests(boost::asio::ip::tcp::socket&, const incarnation&) -> void;
+    /// Returns false if the target has crashed.
+    auto recordArrival(const std::string& requestId, bool isRun, const incarnation&) -> bool;
+    /// Returns false if the target crashes before the time is over.
+    auto work(std::chrono::nanoseconds, const incarnation&) -> bool;
+    auto crash(const incarnation&) -> void;
+    /// Ends the incarnation. The caller holds the mutex.
+    auto goDown() -> void;
 
-    std::string m_id;
+    std::mutex m_mutex;
+    std::condition_variable m_wentDown;
+    incarnation m_incarnation;
+    bool m_isDown { false };
+    std::vector<time_point> m_crashTimes;
     boost::asio::io_context m_context;
+    // Keeps the port while the target is down. Never listens.
+    boost::asio::ip::tcp::socket m_reservation;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::atomic<target_behaviour> m_behaviour { target_behaviour::Normal };
-    std::mutex m_mutex;
     std::atomic<int64_t> m_serviceTimeNs { 0 };
     std::vector<recorded_request> m_arrivals;
     std::vector<std::thread> m_connections;
--- /dev/null
+++ b/fakes/target_behaviour.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+
+namespace gypsumhub {
+
+/// How a fake target handles its requests.
+enum class target_behaviour : uint8_t {
+    Normal,
+    /// Answers 500.
+    Fails,
+    /// Rejects the request without running it, as a target at capacity does.
+    Sheds,
+    /// Runs the request and closes the connection without an answer.
+    Drops,
+    /// Sends an answer with the id of another request before the right one.
+    AnswersOtherRequest,
+    /// Closes the connection in the middle of its answer.
+    Cuts,
+    /// Sends a late copy of another answer, without an id, before the right one.
+    AnswersWithoutId,
+    /// Runs the request and sends interim answers, one header field after the other, or a body, until the caller closes.
+    EndlessInterim,
+    EndlessHead,
+    EndlessBody,
+    /// Runs the request and breaks off its answer: before the last chunk, with a chunk size that is no number, or by resetting an answer
+    /// without a length.
+    CutsChunks,
+    SpoilsChunk,
+    ResetsUnframed,
+};
+
+} // namespace gypsumhub
--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -58,16 +58,16 @@
     return false;
 }
 
-/// A fake store, three registered fake targets, and two real gateway nodes on loopback.
+/// A fake store, registered fake targets, and two real gateway nodes on loopback.
 class gateway_fixture {
 public:
     /// `stopLimit` is the time from the signal to stop until the platform would kill the process.
-    explicit gateway_fixture(duration stopLimit = milliseconds(2'000))
+    explicit gateway_fixture(duration stopLimit = milliseconds(2'000), int targetCount = 3)
         : store("127.0.0.1")
         , m_stopLimit(stopLimit)
     {
         configure(1, "bookdesk");
-        for (auto index = 0; index < 3; ++index) {
+        for (auto index = 0; index < targetCount; ++index) {
             targets.push_back(std::make_unique<fake_gateway_target>("127.0.0.1", targetId(index)));
             registerTarget(index, "ready");
         }
@@ -105,7 +105,17 @@
 
     auto registerTarget(int index, const std::string& state) -> void
     {
-        store.put("servers/" + targetId(index), R"({"address":"127.0.0.1:)" + std::to_string(targets[static_cast<size_t>(index)]->port()) + R"(","info":{"service":"bookdesk","version":"v1","data_centre":"a1","slots":4},"status":{"state":")" + state + R"(","sequence":1,"warm_up_left":"0ms"}})");
+        auto& target = *targets[static_cast<size_t>(index)];
+        store.put("servers/" + target.id(), R"({"address":"127.0.0.1:)" + std::to_string(target.port()) + R"(","info":{"service":"bookdesk","version":"v1","data_centre":"a1","slots":4},"status":{"state":")" + state + R"(","sequence":1,"warm_up_left":"0ms"}})");
+    }
+
+    /// Starts a crashed target again and registers it under its new id in place of the old one.
+    auto restartTarget(int index) -> void
+    {
+        auto& target = *targets[static_cast<size_t>(index)];
+        store.remove("servers/" + target.id());
+        target.restart(targetId(index) + "-" + std::to_string(target.crashes()));
+        registerTarget(index, "ready");
     }
 
     auto isReady(int index) -> bool { return sendRequest(addressOf(index, portOf(2)), http::verb::get, "/gypsumhub/readyz", "").status == 200; }
--- a/unit_tests/gateway/raw_caller.h
+++ b/unit_tests/gateway/raw_caller.h
@@ -36,14 +36,18 @@
     unsigned status { 0 };
     std::string id;
     bool isClosing { false };
+    std::string retryAfter;
 };
 
 /// A caller that sends bytes of its choice on one connection, without waiting for answers.
 class raw_caller {
 public:
-    explicit raw_caller(const endpoint& node)
-        : m_socket(m_context)
+    /// Connects from `localAddress`, or from any address if it is empty.
+    explicit raw_caller(const endpoint& node, const std::string& localAddress = {})
+        : m_socket(m_context, tcp::v4())
     {
+        if (!localAddress.empty())
+            m_socket.bind({ asio::ip::make_address(localAddress), 0 });
         m_socket.connect({ asio::ip::make_address(node.address), node.port });
     }
 
@@ -72,7 +76,7 @@
         m_endedCleanly = error == http::error::end_of_stream;
         if (error)
             return {};
-        return { answer.result_int(), std::string(answer["Request-Id"]), !answer.keep_alive() };
+        return { answer.result_int(), std::string(answer["Request-Id"]), !answer.keep_alive(), std::string(answer[http::field::retry_after]) };
     }
 
     auto read(size_t count) -> std::vector<raw_answer>
