--- a/gypsumhub/gateway/node_datagram.capnp
+++ b/gypsumhub/gateway/node_datagram.capnp
@@ -11,6 +11,9 @@
     hello @1 :NodeHello;
     outcomes @2 :List(TargetOutcome);
     registrations @3 :List(TargetChange);
+    crashes @4 :List(TargetCrash);
+    exonerations @5 :List(RequestFingerprint);
+    quarantines @6 :List(RequestQuarantine);
   }
 }
 
@@ -53,3 +56,24 @@
   incarnation @9 :UInt64;
   revision @10 :UInt64;
 }
+
+struct RequestFingerprint {
+  high @0 :UInt64;
+  low @1 :UInt64;
+}
+
+# A target that ended with requests of the sender in flight.
+struct TargetCrash {
+  target @0 :Text;
+  incarnation @1 :UInt64;
+  service @2 :Text;
+  # How long before this datagram the target ended.
+  crashedBeforeMs @3 :UInt32;
+  inFlight @4 :List(RequestFingerprint);
+}
+
+struct RequestQuarantine {
+  fingerprint @0 :RequestFingerprint;
+  # Rounded down.
+  remainingSeconds @1 :UInt32;
+}
--- a/gypsumhub/gateway/node_datagram.capnp.h
+++ b/gypsumhub/gateway/node_datagram.capnp.h
@@ -21,6 +21,9 @@
 CAPNP_DECLARE_SCHEMA(e28de4c85357ce45);
 CAPNP_DECLARE_SCHEMA(b804ef78b366b34e);
 CAPNP_DECLARE_SCHEMA(cbe1217adb1e078a);
+CAPNP_DECLARE_SCHEMA(c734e4b82ff76e70);
+CAPNP_DECLARE_SCHEMA(8b46d8fbc1154af8);
+CAPNP_DECLARE_SCHEMA(8d165adab1575841);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -38,6 +41,9 @@
     HELLO,
     OUTCOMES,
     REGISTRATIONS,
+    CRASHES,
+    EXONERATIONS,
+    QUARANTINES,
   };
 
   struct _capnpPrivate {
@@ -108,6 +114,51 @@
   };
 };
 
+struct RequestFingerprint {
+  RequestFingerprint() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c734e4b82ff76e70, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TargetCrash {
+  TargetCrash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8b46d8fbc1154af8, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RequestQuarantine {
+  RequestQuarantine() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8d165adab1575841, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class NodeDatagram::Reader {
@@ -143,6 +194,18 @@
   inline bool hasRegistrations() const;
   inline  ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>::Reader getRegistrations() const;
 
+  inline bool isCrashes() const;
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool isExonerations() const;
+  inline bool hasExonerations() const;
+  inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Reader getExonerations() const;
+
+  inline bool isQuarantines() const;
+  inline bool hasQuarantines() const;
+  inline  ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>::Reader getQuarantines() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -203,6 +266,30 @@
   inline void adoptRegistrations(::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>> disownRegistrations();
 
+  inline bool isCrashes();
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool isExonerations();
+  inline bool hasExonerations();
+  inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Builder getExonerations();
+  inline void setExonerations( ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Builder initExonerations(unsigned int size);
+  inline void adoptExonerations(::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>> disownExonerations();
+
+  inline bool isQuarantines();
+  inline bool hasQuarantines();
+  inline  ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>::Builder getQuarantines();
+  inline void setQuarantines( ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>::Builder initQuarantines(unsigned int size);
+  inline void adoptQuarantines(::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>> disownQuarantines();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -673,6 +760,285 @@
 };
 #endif  // !CAPNP_LITE
 
+class RequestFingerprint::Reader {
+public:
+  typedef RequestFingerprint Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHigh() const;
+
+  inline  ::uint64_t getLow() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RequestFingerprint::Builder {
+public:
+  typedef RequestFingerprint Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHigh();
+  inline void setHigh( ::uint64_t value);
+
+  inline  ::uint64_t getLow();
+  inline void setLow( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RequestFingerprint::Pipeline {
+public:
+  typedef RequestFingerprint Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TargetCrash::Reader {
+public:
+  typedef TargetCrash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint32_t getCrashedBeforeMs() const;
+
+  inline bool hasInFlight() const;
+  inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Reader getInFlight() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TargetCrash::Builder {
+public:
+  typedef TargetCrash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint32_t getCrashedBeforeMs();
+  inline void setCrashedBeforeMs( ::uint32_t value);
+
+  inline bool hasInFlight();
+  inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Builder getInFlight();
+  inline void setInFlight( ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Builder initInFlight(unsigned int size);
+  inline void adoptInFlight(::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>> disownInFlight();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TargetCrash::Pipeline {
+public:
+  typedef TargetCrash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RequestQuarantine::Reader {
+public:
+  typedef RequestQuarantine Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFingerprint() const;
+  inline  ::gypsumhub::wire::RequestFingerprint::Reader getFingerprint() const;
+
+  inline  ::uint32_t getRemainingSeconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RequestQuarantine::Builder {
+public:
+  typedef RequestQuarantine Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFingerprint();
+  inline  ::gypsumhub::wire::RequestFingerprint::Builder getFingerprint();
+  inline void setFingerprint( ::gypsumhub::wire::RequestFingerprint::Reader value);
+  inline  ::gypsumhub::wire::RequestFingerprint::Builder initFingerprint();
+  inline void adoptFingerprint(::capnp::Orphan< ::gypsumhub::wire::RequestFingerprint>&& value);
+  inline ::capnp::Orphan< ::gypsumhub::wire::RequestFingerprint> disownFingerprint();
+
+  inline  ::uint32_t getRemainingSeconds();
+  inline void setRemainingSeconds( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RequestQuarantine::Pipeline {
+public:
+  typedef RequestQuarantine Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::gypsumhub::wire::RequestFingerprint::Pipeline getFingerprint();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::gypsumhub::wire::NodeDatagram::Which NodeDatagram::Reader::which() const {
@@ -880,6 +1246,168 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool NodeDatagram::Reader::isCrashes() const {
+  return which() == NodeDatagram::CRASHES;
+}
+inline bool NodeDatagram::Builder::isCrashes() {
+  return which() == NodeDatagram::CRASHES;
+}
+inline bool NodeDatagram::Reader::hasCrashes() const {
+  if (which() != NodeDatagram::CRASHES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDatagram::Builder::hasCrashes() {
+  if (which() != NodeDatagram::CRASHES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>::Reader NodeDatagram::Reader::getCrashes() const {
+  KJ_IREQUIRE((which() == NodeDatagram::CRASHES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::getCrashes() {
+  KJ_IREQUIRE((which() == NodeDatagram::CRASHES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeDatagram::Builder::setCrashes( ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::CRASHES);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::initCrashes(unsigned int size) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::CRASHES);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeDatagram::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::CRASHES);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>> NodeDatagram::Builder::disownCrashes() {
+  KJ_IREQUIRE((which() == NodeDatagram::CRASHES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDatagram::Reader::isExonerations() const {
+  return which() == NodeDatagram::EXONERATIONS;
+}
+inline bool NodeDatagram::Builder::isExonerations() {
+  return which() == NodeDatagram::EXONERATIONS;
+}
+inline bool NodeDatagram::Reader::hasExonerations() const {
+  if (which() != NodeDatagram::EXONERATIONS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDatagram::Builder::hasExonerations() {
+  if (which() != NodeDatagram::EXONERATIONS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Reader NodeDatagram::Reader::getExonerations() const {
+  KJ_IREQUIRE((which() == NodeDatagram::EXONERATIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::getExonerations() {
+  KJ_IREQUIRE((which() == NodeDatagram::EXONERATIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeDatagram::Builder::setExonerations( ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::EXONERATIONS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::initExonerations(unsigned int size) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::EXONERATIONS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeDatagram::Builder::adoptExonerations(
+    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::EXONERATIONS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>> NodeDatagram::Builder::disownExonerations() {
+  KJ_IREQUIRE((which() == NodeDatagram::EXONERATIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDatagram::Reader::isQuarantines() const {
+  return which() == NodeDatagram::QUARANTINES;
+}
+inline bool NodeDatagram::Builder::isQuarantines() {
+  return which() == NodeDatagram::QUARANTINES;
+}
+inline bool NodeDatagram::Reader::hasQuarantines() const {
+  if (which() != NodeDatagram::QUARANTINES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDatagram::Builder::hasQuarantines() {
+  if (which() != NodeDatagram::QUARANTINES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>::Reader NodeDatagram::Reader::getQuarantines() const {
+  KJ_IREQUIRE((which() == NodeDatagram::QUARANTINES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::getQuarantines() {
+  KJ_IREQUIRE((which() == NodeDatagram::QUARANTINES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeDatagram::Builder::setQuarantines( ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::QUARANTINES);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::initQuarantines(unsigned int size) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::QUARANTINES);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeDatagram::Builder::adoptQuarantines(
+    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::QUARANTINES);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>> NodeDatagram::Builder::disownQuarantines() {
+  KJ_IREQUIRE((which() == NodeDatagram::QUARANTINES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool NodeHello::Reader::getIsReady() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1370,6 +1898,217 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t RequestFingerprint::Reader::getHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RequestFingerprint::Builder::getHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RequestFingerprint::Builder::setHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RequestFingerprint::Reader::getLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RequestFingerprint::Builder::getLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RequestFingerprint::Builder::setLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TargetCrash::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TargetCrash::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TargetCrash::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TargetCrash::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TargetCrash::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TargetCrash::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TargetCrash::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TargetCrash::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t TargetCrash::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TargetCrash::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TargetCrash::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TargetCrash::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool TargetCrash::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TargetCrash::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TargetCrash::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void TargetCrash::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TargetCrash::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void TargetCrash::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TargetCrash::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t TargetCrash::Reader::getCrashedBeforeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetCrash::Builder::getCrashedBeforeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TargetCrash::Builder::setCrashedBeforeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TargetCrash::Reader::hasInFlight() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool TargetCrash::Builder::hasInFlight() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Reader TargetCrash::Reader::getInFlight() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Builder TargetCrash::Builder::getInFlight() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void TargetCrash::Builder::setInFlight( ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Builder TargetCrash::Builder::initInFlight(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void TargetCrash::Builder::adoptInFlight(
+    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>> TargetCrash::Builder::disownInFlight() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool RequestQuarantine::Reader::hasFingerprint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RequestQuarantine::Builder::hasFingerprint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::gypsumhub::wire::RequestFingerprint::Reader RequestQuarantine::Reader::getFingerprint() const {
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::RequestFingerprint>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::gypsumhub::wire::RequestFingerprint::Builder RequestQuarantine::Builder::getFingerprint() {
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::RequestFingerprint>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::gypsumhub::wire::RequestFingerprint::Pipeline RequestQuarantine::Pipeline::getFingerprint() {
+  return  ::gypsumhub::wire::RequestFingerprint::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RequestQuarantine::Builder::setFingerprint( ::gypsumhub::wire::RequestFingerprint::Reader value) {
+  ::capnp::_::PointerHelpers< ::gypsumhub::wire::RequestFingerprint>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::gypsumhub::wire::RequestFingerprint::Builder RequestQuarantine::Builder::initFingerprint() {
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::RequestFingerprint>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RequestQuarantine::Builder::adoptFingerprint(
+    ::capnp::Orphan< ::gypsumhub::wire::RequestFingerprint>&& value) {
+  ::capnp::_::PointerHelpers< ::gypsumhub::wire::RequestFingerprint>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::gypsumhub::wire::RequestFingerprint> RequestQuarantine::Builder::disownFingerprint() {
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::RequestFingerprint>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t RequestQuarantine::Reader::getRemainingSeconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RequestQuarantine::Builder::getRemainingSeconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RequestQuarantine::Builder::setRemainingSeconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/gypsumhub/gateway/node_datagram.cpp
+++ b/gypsumhub/gateway/node_datagram.cpp
@@ -22,6 +22,24 @@
         return static_cast<uint32_t>(std::clamp<int64_t>(length.milliseconds(), 0, std::numeric_limits<uint32_t>::max()));
     }
 
+    // Rounded down: rounding up would lengthen a quarantine with every node that repeats it.
+    auto toWholeSeconds(duration length) -> uint32_t
+    {
+        return toMilliseconds(length) / 1'000;
+    }
+
+    auto writeFingerprint(wire::RequestFingerprint::Builder written, const request_fingerprint& fingerprint) -> void
+    {
+        written.setHigh(fingerprint.high);
+        written.setLow(fingerprint.low);
+    }
+
+    auto writeFingerprints(capnp::List<wire::RequestFingerprint>::Builder list, std::span<const request_fingerprint> fingerprints) -> void
+    {
+        for (auto index = uint32_t { 0 }; index < list.size(); ++index)
+            writeFingerprint(list[index], fingerprints[index]);
+    }
+
     // Visitor that writes the content of a datagram into its Cap'n Proto message.
     struct content_writer {
         wire::NodeDatagram::Builder datagram;
@@ -77,6 +95,35 @@
                 written.setRevision(entry.revision);
             }
         }
+
+        auto operator()(const std::vector<crash_report>& reports) -> void
+        {
+            auto list = datagram.initCrashes(static_cast<uint32_t>(reports.size()));
+            for (auto index = uint32_t { 0 }; index < list.size(); ++index) {
+                auto& report = reports[index];
+                auto written = list[index];
+                written.setTarget(report.target);
+                written.setIncarnation(report.incarnation);
+                written.setService(report.service);
+                written.setCrashedBeforeMs(toMilliseconds(now - report.at));
+                writeFingerprints(written.initInFlight(static_cast<uint32_t>(report.inFlight.size())), report.inFlight);
+            }
+        }
+
+        auto operator()(const exonerations& exonerated) -> void
+        {
+            auto& fingerprints = exonerated.fingerprints;
+            writeFingerprints(datagram.initExonerations(static_cast<uint32_t>(fingerprints.size())), fingerprints);
+        }
+
+        auto operator()(const std::vector<quarantined_request>& quarantines) -> void
+        {
+            auto list = datagram.initQuarantines(static_cast<uint32_t>(quarantines.size()));
+            for (auto index = uint32_t { 0 }; index < list.size(); ++index) {
+                writeFingerprint(list[index].initFingerprint(), quarantines[index].fingerprint);
+                list[index].setRemainingSeconds(toWholeSeconds(quarantines[index].until - now));
+            }
+        }
     };
 
     auto readDemands(wire::NodeHello::Reader hello) -> std::vector<host_demand>
@@ -124,6 +171,49 @@
         return changes;
     }
 
+    auto readFingerprint(wire::RequestFingerprint::Reader fingerprint) -> request_fingerprint
+    {
+        return { fingerprint.getHigh(), fingerprint.getLow() };
+    }
+
+    auto readFingerprints(capnp::List<wire::RequestFingerprint>::Reader list, size_t limit) -> std::vector<request_fingerprint>
+    {
+        auto fingerprints = std::vector<request_fingerprint> {};
+        for (auto fingerprint : list) {
+            if (fingerprints.size() == limit)
+                break;
+            fingerprints.push_back(readFingerprint(fingerprint));
+        }
+        return fingerprints;
+    }
+
+    auto readCrashes(wire::NodeDatagram::Reader datagram, time_point now) -> std::vector<crash_report>
+    {
+        auto reports = std::vector<crash_report> {};
+        auto fingerprintsLeft = maxDatagramFingerprints;
+        for (auto crash : datagram.getCrashes()) {
+            if (reports.size() == maxDatagramEntries)
+                break;
+            auto inFlight = readFingerprints(crash.getInFlight(), fingerprintsLeft);
+            fingerprintsLeft -= inFlight.size();
+            reports.push_back({ crash.getTarget().cStr(), crash.getIncarnation(), crash.getService().cStr(), now - milliseconds(crash.getCrashedBeforeMs()),
+                std::move(inFlight) });
+        }
+        return reports;
+    }
+
+    auto readQuarantines(wire::NodeDatagram::Reader datagram, time_point now) -> std::vector<quarantined_request>
+    {
+        auto quarantines = std::vector<quarantined_request> {};
+        for (auto quarantine : datagram.getQuarantines()) {
+            if (quarantines.size() == maxDatagramQuarantines)
+                break;
+            auto remaining = std::min(seconds(quarantine.getRemainingSeconds()), maxReceivedQuarantine);
+            quarantines.push_back({ readFingerprint(quarantine.getFingerprint()), now + remaining });
+        }
+        return quarantines;
+    }
+
     auto readDatagram(wire::NodeDatagram::Reader datagram, time_point now) -> std::optional<node_datagram>
     {
         auto read = node_datagram { datagram.getSender().cStr(), {} };
@@ -140,6 +230,15 @@
         case wire::NodeDatagram::REGISTRATIONS:
             read.content = readRegistrations(datagram, now);
             return read;
+        case wire::NodeDatagram::CRASHES:
+            read.content = readCrashes(datagram, now);
+            return read;
+        case wire::NodeDatagram::EXONERATIONS:
+            read.content = exonerations { readFingerprints(datagram.getExonerations(), maxDatagramFingerprints) };
+            return read;
+        case wire::NodeDatagram::QUARANTINES:
+            read.content = readQuarantines(datagram, now);
+            return read;
         }
         return std::nullopt;
     }
--- a/gypsumhub/gateway/node_datagram.h
+++ b/gypsumhub/gateway/node_datagram.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gypsumhub/decision/selection/crash_report.h"
 #include "gypsumhub/decision/selection/membership_view.h"
 #include "gypsumhub/decision/selection/registration_view.h"
 
@@ -21,19 +22,35 @@
     time_point sentAt;
 };
 
+/// Requests that a target ran to the end, and so do not crash it.
+struct exonerations {
+    std::vector<request_fingerprint> fingerprints;
+};
+
 /// A datagram from another node.
 struct node_datagram {
     std::string sender;
-    std::variant<node_hello, std::vector<peer_outcome>, std::vector<view_change>> content;
+    std::variant<node_hello, std::vector<peer_outcome>, std::vector<view_change>, std::vector<crash_report>, exonerations, std::vector<quarantined_request>>
+        content;
 };
 
-/// Encodes a datagram. Points in time are sent as ages, since clocks differ between machines.
+/// Encodes a datagram. Points in time are sent as ages, since clocks differ between machines; the ends of quarantines as the whole seconds
+/// that remain.
 auto encodeDatagram(const node_datagram&, time_point now) -> std::string;
 
-/// Decodes a datagram, or returns nullopt when the bytes are malformed. Reads at most `maxDatagramEntries` entries.
+/// Decodes a datagram, or returns nullopt when the bytes are malformed. Drops entries beyond the limits below.
 auto decodeDatagram(std::string_view bytes, time_point now) -> std::optional<node_datagram>;
 
-/// Registrations that fit into one datagram without IP fragmentation.
+/// Registrations, outcomes or crash reports that fit into one datagram without IP fragmentation.
 constexpr auto maxDatagramEntries = size_t { 5 };
 
+/// Fingerprints in one datagram: as exonerations, or in flight in all its crash reports together.
+constexpr auto maxDatagramFingerprints = size_t { 32 };
+
+/// Quarantined requests in one datagram.
+constexpr auto maxDatagramQuarantines = size_t { 16 };
+
+/// Quarantines from other nodes end after this time at the latest.
+constexpr auto maxReceivedQuarantine = minutes(60);
+
 } // namespace gypsumhub
--- a/unit_tests/gateway/node_datagram_test.cpp
+++ b/unit_tests/gateway/node_datagram_test.cpp
@@ -1,6 +1,8 @@
 #include "gypsumhub/gateway/node_datagram.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <random>
 
 using namespace gypsumhub;
 
@@ -21,6 +23,108 @@
     return std::vector<view_change>(count, { entry, false });
 }
 
+// Without zero bytes, which the encoding would compress.
+auto makeFingerprints(size_t count) -> std::vector<request_fingerprint>
+{
+    auto random = std::mt19937_64 { 26 };
+    auto next = [&] { return random() | 0x0101010101010101; };
+    auto fingerprints = std::vector<request_fingerprint> {};
+    while (fingerprints.size() < count) {
+        auto high = next();
+        fingerprints.push_back({ high, next() });
+    }
+    return fingerprints;
+}
+
+// Reports with the given numbers of requests in flight.
+auto makeReports(const std::vector<size_t>& inFlight) -> std::vector<crash_report>
+{
+    auto reports = std::vector<crash_report> {};
+    for (auto count : inFlight)
+        reports.push_back({ "i-0123456789", 1'700'000'000'123, "bookdesk", now - milliseconds(2'340), makeFingerprints(count) });
+    return reports;
+}
+
+auto makeQuarantines(size_t count, duration remaining) -> std::vector<quarantined_request>
+{
+    auto quarantines = std::vector<quarantined_request> {};
+    for (auto& fingerprint : makeFingerprints(count))
+        quarantines.push_back({ fingerprint, now + remaining });
+    return quarantines;
+}
+
+// One datagram of each kind about crashes, with as many entries as one may hold.
+auto makeFullCrashDatagrams() -> std::vector<node_datagram>
+{
+    return { { "edge-ahd-a-12", makeReports({ 7, 7, 6, 6, 6 }) }, { "edge-ahd-a-12", exonerations { makeFingerprints(maxDatagramFingerprints) } },
+        { "edge-ahd-a-12", makeQuarantines(maxDatagramQuarantines, minutes(60)) } };
+}
+
+template <typename Content>
+auto sendAndReceive(const Content& content, time_point receivedAt) -> Content
+{
+    auto read = decodeDatagram(encodeDatagram({ "n1", content }, now), receivedAt);
+    REQUIRE(read);
+    CHECK(read->sender == "n1");
+    REQUIRE(std::holds_alternative<Content>(read->content));
+    return std::get<Content>(read->content);
+}
+
+// Tells whether decoded content keeps the limits on entries and times, and its texts the read limit of 32 KB.
+struct limit_checker {
+    size_t textSize { 0 };
+
+    auto addText(const std::string& text) -> bool
+    {
+        textSize += text.size();
+        return textSize <= size_t { 32 } * 1'024;
+    }
+
+    auto operator()(const node_hello& hello) -> bool
+    {
+        return hello.demands.size() <= 8 && std::ranges::all_of(hello.demands, [&](auto& demand) { return addText(demand.host); });
+    }
+
+    auto operator()(const std::vector<peer_outcome>& outcomes) -> bool
+    {
+        return outcomes.size() <= maxDatagramEntries && std::ranges::all_of(outcomes, [&](auto& outcome) { return addText(outcome.target); });
+    }
+
+    auto operator()(const std::vector<view_change>& changes) -> bool
+    {
+        return changes.size() <= maxDatagramEntries && std::ranges::all_of(changes, [&](auto& change) {
+            auto& entry = change.registration;
+            return addText(entry.id) && addText(entry.service) && addText(entry.address.address) && addText(entry.dataCentre);
+        });
+    }
+
+    auto operator()(const std::vector<crash_report>& reports) -> bool
+    {
+        auto fingerprintCount = size_t { 0 };
+        return reports.size() <= maxDatagramEntries && std::ranges::all_of(reports, [&](auto& report) {
+            fingerprintCount += report.inFlight.size();
+            return fingerprintCount <= maxDatagramFingerprints && report.at <= now && addText(report.target) && addText(report.service);
+        });
+    }
+
+    auto operator()(const exonerations& exonerated) -> bool
+    {
+        return exonerated.fingerprints.size() <= maxDatagramFingerprints;
+    }
+
+    auto operator()(const std::vector<quarantined_request>& quarantines) -> bool
+    {
+        return quarantines.size() <= maxDatagramQuarantines
+            && std::ranges::all_of(quarantines, [](auto& entry) { return entry.until >= now && entry.until <= now + maxReceivedQuarantine; });
+    }
+};
+
+auto isWithinLimits(const node_datagram& datagram) -> bool
+{
+    auto checker = limit_checker {};
+    return checker.addText(datagram.sender) && std::visit(checker, datagram.content);
+}
+
 } // namespace
 
 TEST_CASE("datagrams carry hellos, outcomes and registrations with ages instead of clock times")
@@ -55,3 +159,82 @@
     for (auto length = size_t { 0 }; length < bytes.size(); ++length)
         decodeDatagram(std::string_view(bytes).substr(0, length), now);
 }
+
+TEST_CASE("datagrams carry crash reports, exonerations and quarantines")
+{
+    auto later = now + seconds(1000);
+    auto reports = makeReports({ 3, 0 });
+    auto readReports = sendAndReceive(reports, later);
+    REQUIRE(readReports.size() == 2);
+    CHECK(readReports[0].target == "i-0123456789");
+    CHECK(readReports[0].incarnation == 1'700'000'000'123);
+    CHECK(readReports[0].service == "bookdesk");
+    CHECK((readReports[0].at == later - milliseconds(2'340)));
+    CHECK((readReports[0].inFlight == reports[0].inFlight));
+    CHECK(readReports[1].inFlight.empty());
+
+    CHECK((sendAndReceive(exonerations { makeFingerprints(4) }, later).fingerprints == makeFingerprints(4)));
+    CHECK(sendAndReceive(exonerations {}, later).fingerprints.empty());
+
+    auto quarantines = sendAndReceive(makeQuarantines(2, seconds(90)), later);
+    REQUIRE(quarantines.size() == 2);
+    CHECK((quarantines[0].fingerprint == makeFingerprints(2)[0]));
+    CHECK((quarantines[1].fingerprint == makeFingerprints(2)[1]));
+    CHECK((quarantines[1].until == later + seconds(90)));
+}
+
+TEST_CASE("the remaining time of a quarantine is rounded down and at most an hour")
+{
+    auto received = [](duration remaining) { return sendAndReceive(makeQuarantines(1, remaining), now).front().until; };
+    CHECK((received(milliseconds(10'999)) == now + seconds(10)));
+    CHECK((received(seconds(10) - duration { 1 }) == now + seconds(9)));
+    CHECK((received(milliseconds(999)) == now));
+    CHECK((received(seconds(-5)) == now));
+    CHECK((received(minutes(60)) == now + minutes(60)));
+    CHECK((received(minutes(61)) == now + minutes(60)));
+    CHECK((received(never - now) == now + minutes(60)));
+}
+
+TEST_CASE("full datagrams about crashes fit into one packet")
+{
+    for (auto& datagram : makeFullCrashDatagrams()) {
+        auto bytes = encodeDatagram(datagram, now);
+        CAPTURE(datagram.content.index());
+        CHECK(bytes.size() < 1'200);
+        auto read = decodeDatagram(bytes, now);
+        REQUIRE(read);
+        CHECK(encodeDatagram(*read, now) == bytes);
+    }
+}
+
+TEST_CASE("entries beyond the limits of a datagram are dropped")
+{
+    auto reports = sendAndReceive(makeReports({ 10, 10, 10, 10, 10, 10, 10 }), now);
+    REQUIRE(reports.size() == maxDatagramEntries);
+    CHECK((reports[2].inFlight == makeFingerprints(10)));
+    CHECK((reports[3].inFlight == makeFingerprints(2)));
+    CHECK(reports[4].inFlight.empty());
+    CHECK((sendAndReceive(makeReports({ 200 }), now).front().inFlight == makeFingerprints(maxDatagramFingerprints)));
+    CHECK((sendAndReceive(exonerations { makeFingerprints(40) }, now).fingerprints == makeFingerprints(maxDatagramFingerprints)));
+    CHECK(sendAndReceive(makeQuarantines(20, seconds(5)), now).size() == maxDatagramQuarantines);
+}
+
+TEST_CASE("damaged datagrams about crashes are rejected or read within the limits")
+{
+    auto random = std::mt19937_64 { 20261204 };
+    for (auto& datagram : makeFullCrashDatagrams()) {
+        auto bytes = encodeDatagram(datagram, now);
+        for (auto length = size_t { 0 }; length < bytes.size(); ++length)
+            CHECK_FALSE(decodeDatagram(std::string_view(bytes).substr(0, length), now));
+        for (auto round = 0; round < 5'000; ++round) {
+            auto damaged = bytes;
+            // Half of the changes go to the start, where most of the pointers and sizes are.
+            auto range = round % 2 == 0 ? damaged.size() : size_t { 64 };
+            for (auto changes = 1 + random() % 4; changes > 0; --changes)
+                damaged[random() % range] = static_cast<char>(random());
+            auto read = decodeDatagram(damaged, now);
+            CAPTURE(round);
+            CHECK((!read || isWithinLimits(*read)));
+        }
+    }
+}
