--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -48,7 +48,7 @@
     , m_id(m_request[wire_names::requestId])
     , m_arrivedAt(arrivedAt)
     , m_deadline(arrivedAt)
-    , m_isSampled(context.log.samples(m_id))
+    , m_log(context.log, m_id)
 {
     findRoute();
 }
@@ -350,15 +350,11 @@
 auto request_handler::logPlacement(const target_state& target, double probabilityBad) -> void
 {
     auto now = bootClockNow();
-    auto line = boost::json::object { { "time", logTimeNow() }, { "id", m_id }, { "route", m_route->name }, { "routes_version", m_routes->version() }, { "target", target.registration.id },
+    m_log.recordPlacement({ { "route", m_route->name }, { "routes_version", m_routes->version() }, { "target", target.registration.id },
         { "data_centre", target.registration.dataCentre },
         { "target_revision", target.registration.revision }, { "attempt", m_sent + 1 }, { "waited_ms", (now - m_arrivedAt).milliseconds() },
         { "probability_bad", probabilityBad }, { "evidence_age_ms", (now - target.health.lastEvidenceAt()).milliseconds() },
-        { "in_flight", target.inFlight }, { "waiting", m_dispatcher->waiting() } };
-    if (m_isSampled)
-        m_context.log.write(log_class::Routine, "request_placed", std::move(line));
-    else
-        m_deferredLines.push_back(std::move(line));
+        { "in_flight", target.inFlight }, { "waiting", m_dispatcher->waiting() } });
 }
 
 auto request_handler::recordEnd(const caller_reply& reply) -> void
@@ -380,14 +376,7 @@
         fields["last_target"] = m_tried.back();
     if (m_callerLeft)
         fields["caller_left"] = true;
-    if (isSuccess && !m_isSampled) {
-        m_context.log.recordUnsampled(m_deferredLines.size() + 1);
-        return;
-    }
-    // A failed request is logged with all its lines, even when it is not sampled.
-    for (auto& line : m_deferredLines)
-        m_context.log.write(log_class::Notable, "request_placed", std::move(line));
-    m_context.log.write(isSuccess ? log_class::Routine : log_class::Notable, "request_ended", std::move(fields));
+    m_log.recordEnd(std::move(fields), isSuccess);
 }
 
 } // namespace gypsumhub
--- a/gypsumhub/gateway/request_handler.h
+++ b/gypsumhub/gateway/request_handler.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "gypsumhub/gateway/gateway_context.h"
+#include "gypsumhub/gateway/request_log.h"
 #include "gypsumhub/proxy/request_reader.h"
 
-#include <boost/json/object.hpp>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -87,10 +87,7 @@
     std::shared_ptr<placement_wait> m_wait;
     std::shared_ptr<target_http_connection> m_connection;
     std::string m_reason;
-    /// Whether the log lines of this request are written even when it succeeds.
-    bool m_isSampled;
-    /// Placement lines of a request that is not sampled, kept in case it fails.
-    std::vector<boost::json::object> m_deferredLines;
+    request_log m_log;
 };
 
 } // namespace gypsumhub
--- /dev/null
+++ b/gypsumhub/gateway/request_log.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "gypsumhub/gateway/json_logger.h"
+
+#include <boost/json/object.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gypsumhub {
+
+/// The log lines of one request. Those of a request that succeeds are sampled by its id, those of a request that fails are all
+/// written, at its end.
+class request_log {
+public:
+    request_log(json_logger&, std::string_view requestId);
+
+    /// Records that a target was chosen.
+    auto recordPlacement(boost::json::object fields) -> void;
+    /// Records the end of the request.
+    auto recordEnd(boost::json::object fields, bool isSuccess) -> void;
+
+private:
+    json_logger& m_log;
+    std::string m_id;
+    /// Whether the lines are written even when the request succeeds.
+    bool m_isSampled;
+    /// Placement lines of a request that is not sampled, kept in case it fails.
+    std::vector<boost::json::object> m_deferredLines;
+};
+
+} // namespace gypsumhub
