Decision: requests that met two outages are not taken for their cause

The detector took a crash for explained, and so for no sign of a common cause, as soon as one of its requests had been in flight at two crashes more than 150 ms apart. In a second outage that holds for every request that was sent again. A popular request in flight at all targets of one outage was held back as well.

Change: a crash is explained only by a request that is quarantined, that was in flight at two separate crashes without a common cause, or that was in flight whenever targets ended at three moments. A quarantine needs three charged crashes that are not all of one moment.

Price: copies that crash all targets within 150 ms are known only from the next crash.

--- a/gypsumhub/decision/selection/poison_request_detector.cpp
+++ b/gypsumhub/decision/selection/poison_request_detector.cpp
@@ -12,6 +12,8 @@
 
     constexpr auto quarantineCharges = 3U;
     constexpr auto suspectCharges = 2U;
+    // A request that was in flight whenever targets crashed, so many times, is no bystander of outages.
+    constexpr auto explainingMoments = 3U;
     // Header and padding of an allocated block.
     constexpr auto blockOverhead = 2 * sizeof(void*);
 
@@ -35,6 +37,13 @@
 
 } // namespace
 
+auto poison_request_detector::crash_series::add(time_point at) -> void
+{
+    ++count;
+    first = std::min(first, at);
+    last = std::max(last, at);
+}
+
 auto poison_request_detector::findOrAddCrash(const crash_report& report, time_point now) -> crash*
 {
     auto key = mixHashes(hashName(report.target), report.incarnation);
@@ -141,7 +150,9 @@
 
 auto poison_request_detector::recordQuarantine(const quarantined_request& told, time_point now) -> void
 {
-    quarantine(told.fingerprint, std::min(told.until, now + quarantineTime), now);
+    auto known = m_quarantined.find(told.fingerprint);
+    if (known == m_quarantined.end() || known->second + minExtension < told.until)
+        quarantine(told.fingerprint, std::min(told.until, now + quarantineTime), now);
 }
 
 auto poison_request_detector::quarantine(const request_fingerprint& fingerprint, time_point until, time_point now) -> void
@@ -195,7 +206,7 @@
 {
     evaluate(now);
     auto known = m_evidence.find(fingerprint);
-    return known != m_evidence.end() && known->second.charged >= suspectCharges;
+    return known != m_evidence.end() && known->second.charged.count >= suspectCharges;
 }
 
 auto poison_request_detector::quarantined(time_point now) -> std::vector<quarantined_request>
@@ -235,9 +246,12 @@
     }
     resetEvidence(now);
     findCommonCauses(now);
+    // What is certain about one request tells which of the crashes beside it need another explanation.
+    markExplained();
+    findCommonCauses(now);
     assignCharges(now);
     for (auto& [fingerprint, known] : m_evidence) {
-        if (known.charged >= quarantineCharges)
+        if (known.charged.count >= quarantineCharges && known.charged.isSpread())
             quarantine(fingerprint, known.chargedUntil, now);
     }
     m_evaluateAt = never;
@@ -250,16 +264,25 @@
 {
     for (auto& [fingerprint, known] : m_evidence)
         known = { .crashes = known.crashes, .isQuarantined = isQuarantined(fingerprint, now) };
+    std::sort(m_crashes.begin(), m_crashes.end(), [](auto& a, auto& b) { return std::tuple(a.at, a.key) < std::tuple(b.at, b.key); });
     for (auto& each : m_crashes) {
-        for (auto* known : each.inFlight) {
-            known->second.first = std::min(known->second.first, each.at);
-            known->second.last = std::max(known->second.last, each.at);
+        for (auto* found : each.inFlight) {
+            auto& known = found->second;
+            if (known.moments > 0 && each.at <= known.lastMoment + commonCauseTime)
+                continue;
+            ++known.moments;
+            known.lastMoment = each.at;
         }
     }
-    // A request in flight at several crashes of the same moment does not explain them: an outage of the service would show the same.
+    markExplained();
+}
+
+auto poison_request_detector::markExplained() -> void
+{
     for (auto& each : m_crashes) {
-        each.isExplained = std::any_of(each.inFlight.begin(), each.inFlight.end(), [](auto* known) {
-            return known->second.isQuarantined || known->second.last - known->second.first > commonCauseTime;
+        each.isExplained = std::any_of(each.inFlight.begin(), each.inFlight.end(), [](auto* found) {
+            auto& known = found->second;
+            return known.isQuarantined || known.chargeable.isSpread() || known.moments >= explainingMoments;
         });
     }
 }
@@ -284,6 +307,8 @@
 
 auto poison_request_detector::findCommonCauses(time_point now) -> void
 {
+    for (auto& [fingerprint, known] : m_evidence)
+        known.chargeable = {};
     auto ordered = std::vector<crash*> {};
     for (auto& each : m_crashes)
         ordered.push_back(&each);
@@ -303,7 +328,7 @@
                 continue;
             each->chargeable |= uint64_t { 1 } << index;
             if (each->settledAt <= now)
-                ++known.chargeable;
+                known.chargeable.add(each->at);
         }
     }
     for (; tail != head; ++tail)
@@ -319,14 +344,14 @@
         auto most = uint32_t { 0 };
         for (auto* known : each.inFlight) {
             hasQuarantined = hasQuarantined || known->second.isQuarantined;
-            most = std::max(most, known->second.chargeable);
+            most = std::max(most, known->second.chargeable.count);
         }
         for (auto index = size_t { 0 }; index < each.inFlight.size(); ++index) {
             auto& known = each.inFlight[index]->second;
-            auto isMostLikely = hasQuarantined ? known.isQuarantined : known.chargeable == most;
+            auto isMostLikely = hasQuarantined ? known.isQuarantined : known.chargeable.count == most;
             if (!isMostLikely || (each.chargeable >> index & 1U) == 0)
                 continue;
-            ++known.charged;
+            known.charged.add(each.at);
             known.chargedUntil = std::max(known.chargedUntil, each.forgottenAt);
         }
     }
--- a/gypsumhub/decision/selection/poison_request_detector.h
+++ b/gypsumhub/decision/selection/poison_request_detector.h
@@ -15,8 +15,8 @@
 /// Finds the requests that crash the targets that run them and quarantines them, from the crash reports of all nodes.
 ///
 /// A request is charged with the crashes at which it was in flight, unless a common cause or a request with more crashes explains
-/// them better, and is quarantined when it is charged with three. Nodes that have received the same reports, successes and
-/// quarantines decide alike.
+/// them better, and is quarantined when it is charged with three that did not all happen at once. Nodes that have received the same
+/// reports, successes and quarantines decide alike.
 ///
 /// The cost of an evaluation is linear in the recorded requests, and evaluations are at least `evaluationInterval` apart. Without
 /// crashes and quarantines every function is O(1).
@@ -30,6 +30,8 @@
     static constexpr auto quarantineTime = minutes(10);
     /// How long a request counts as harmless after a success.
     static constexpr auto provenTime = seconds(60);
+    /// Nodes repeat each other's quarantines with the delay of the network, which must not lengthen them.
+    static constexpr auto minExtension = seconds(1);
     static constexpr auto evaluationInterval = milliseconds(10);
     static constexpr auto maxCrashes = size_t { 256 };
     static constexpr auto maxRequestsPerCrash = size_t { 64 };
@@ -51,7 +53,7 @@
     auto recordSuccess(const request_fingerprint&, time_point now) -> bool;
     /// Records a success that another node has seen.
     auto recordExoneration(const request_fingerprint&, time_point now) -> void;
-    /// Records a quarantine of another node. The later end wins, at most `quarantineTime` from now.
+    /// Records a quarantine of another node. An end that is later by `minExtension` wins, at most `quarantineTime` from now.
     auto recordQuarantine(const quarantined_request&, time_point now) -> void;
 
     /// Whether the request succeeded within `provenTime`. Crash reports leave it out.
@@ -81,16 +83,28 @@
         auto operator()(const request_fingerprint& fingerprint) const noexcept -> size_t { return fingerprint.low; }
     };
 
+    /// A number of crashes, and when the first and the last of them happened.
+    struct crash_series {
+        uint32_t count { 0 };
+        time_point first { never };
+        time_point last {};
+
+        auto add(time_point) -> void;
+        /// Whether they are too far apart for a single common cause.
+        auto isSpread() const -> bool { return count > 1 && last - first > commonCauseTime; }
+    };
+
     /// What the crashes say about one request.
     struct evidence {
-        /// Recorded crashes at which it was in flight; the first and the last of them.
+        /// Recorded crashes at which it was in flight.
         uint32_t crashes { 0 };
-        time_point first { never };
-        time_point last {};
+        /// Moments at which it was in flight at crashes, more than `commonCauseTime` apart, and the last of them.
+        uint32_t moments { 0 };
+        time_point lastMoment {};
         /// Settled crashes that no common cause explains.
-        uint32_t chargeable { 0 };
+        crash_series chargeable;
         /// Settled crashes that it is charged with; the latest time at which one of them is forgotten.
-        uint32_t charged { 0 };
+        crash_series charged;
         time_point chargedUntil {};
         /// Unexplained crashes in the window around the current one.
         uint32_t inWindow { 0 };
@@ -114,7 +128,7 @@
         std::vector<suspect*> inFlight {};
         /// Bit i: no common cause explains the crash for request i.
         uint64_t chargeable { 0 };
-        /// Whether one of the requests is quarantined or was in flight at crashes too far apart for a common cause.
+        /// Whether one of the requests is quarantined or has probably caused other crashes.
         bool isExplained { false };
     };
 
@@ -136,6 +150,8 @@
     /// Charges the settled crashes to requests and quarantines those charged too often, if this is due.
     auto evaluate(time_point now) -> void;
     auto resetEvidence(time_point now) -> void;
+    /// Marks the crashes that have an explanation of their own. They are no sign of a common cause.
+    auto markExplained() -> void;
     auto findCommonCauses(time_point now) -> void;
     auto assignCharges(time_point now) -> void;
     auto addToWindow(const crash&) -> void;
