Gateway: a request that crashes the targets that run it is kept from them

Cause: every copy was a new request to each node. Nothing connected the end of a target with the requests in flight there, and nodes told each other only that a target is bad. Class of fault: failures are charged to the servers alone, never to the work.

Ruled out: retries within one attempt of a caller (request_ended of the crashing requests: sent 1 or 2, of 3 allowed); the fleet's retry budget (copies are new requests, it does not apply to them).

Change: a lost exchange makes the node connect to the target again. A refused connection means that it has crashed; silence or a success do not. The node then sends the fingerprints (caller address, host, method, path, query, body) of its requests in flight there to its data centre and to two nodes of each other one, which pass them on, three times in all. poison_request_detector on every node decides. A quarantined request is answered 503 (not run) at once, with the time until the quarantine ends. Quarantines go to the recipients of hellos once a second, so that nodes that start or heal receive them. Without crashes nothing is sent.

--- a/gypsumhub/decision/selection/membership_view.cpp
+++ b/gypsumhub/decision/selection/membership_view.cpp
@@ -4,6 +4,7 @@
 #include "gypsumhub/decision/selection/watch_timing.h"
 
 #include <algorithm>
+#include <span>
 #include <tuple>
 
 namespace gypsumhub {
@@ -30,6 +31,8 @@
     constexpr auto maxGroupNodes = size_t { 64 };
     // Number of nodes of other data centres to which the first node of a data centre sends hellos to receive changes from them.
     constexpr auto maxRemoteUpstreams = size_t { 2 };
+    // Nodes of another data centre that pass on a message to the whole fleet.
+    constexpr auto relaysPerDataCentre = size_t { 2 };
 
 } // namespace
 
@@ -282,6 +285,28 @@
     return nodes;
 }
 
+auto membership_view::fleetRecipients(uint64_t salt) const -> std::vector<node_registration>
+{
+    auto byDataCentre = std::map<std::string_view, std::vector<const node_registration*>> {};
+    for (auto& [name, other] : m_nodes)
+        byDataCentre[other.registration.dataCentre].push_back(&other.registration);
+    auto nodes = std::vector<node_registration> {};
+    for (auto& [dataCentre, members] : byDataCentre) {
+        auto count = dataCentre == m_own.dataCentre ? members.size() : std::min(members.size(), relaysPerDataCentre);
+        std::ranges::partial_sort(members, members.begin() + static_cast<std::ptrdiff_t>(count), {}, [&](auto* member) { return mixHashes(hashName(member->name), salt); });
+        for (auto* member : std::span(members).first(count))
+            nodes.push_back(*member);
+    }
+    return nodes;
+}
+
+auto membership_view::localPeers() const -> std::vector<node_registration>
+{
+    auto nodes = peers();
+    std::erase_if(nodes, [&](auto& node) { return node.dataCentre != m_own.dataCentre; });
+    return nodes;
+}
+
 auto membership_view::configurationHolders(uint64_t version, time_point now) const -> std::vector<std::string>
 {
     auto local = std::vector<std::string> {}, remote = std::vector<std::string> {};
--- a/gypsumhub/decision/selection/membership_view.h
+++ b/gypsumhub/decision/selection/membership_view.h
@@ -79,6 +79,10 @@
     /// The nodes that receive this node's hellos and changes: those of its data centre, its upstream nodes, and the nodes of other
     /// data centres that send hellos to it.
     auto recipients(time_point now) const -> std::vector<node_registration>;
+    /// The nodes that receive what concerns the whole fleet: those of the own data centre, and of each other one a few that pass it
+    /// on to theirs. These differ with `salt`, so that a message that is sent again reaches others.
+    auto fleetRecipients(uint64_t salt) const -> std::vector<node_registration>;
+    auto localPeers() const -> std::vector<node_registration>;
     /// The nodes from which this one requests listings at startup, in this order; empty for the first node of a data centre.
     /// The nodes form a tree, so that a data centre that starts all at once overloads neither the store nor a single node.
     auto bootstrapSources() const -> std::vector<std::string>;
--- a/gypsumhub/gateway/caller_connection.cpp
+++ b/gypsumhub/gateway/caller_connection.cpp
@@ -50,6 +50,8 @@
     , m_spaceTimer(context.io.get_executor())
 {
     setNoDelay(m_socket);
+    auto ignored = error_code {};
+    m_callerAddress = m_socket.remote_endpoint(ignored).address().to_string();
 }
 
 auto caller_connection::run() -> task<>
@@ -159,7 +161,7 @@
 auto caller_connection::addRequest(inbound_message message) -> void
 {
     auto added = pipelined_request { .isHead = isHeadRequest(message), .keepOpen = message.keep_alive(), .bodyBytes = message.body().size() };
-    added.handler = std::make_shared<request_handler>(m_context, std::move(message), m_receivedAt);
+    added.handler = std::make_shared<request_handler>(m_context, std::move(message), m_callerAddress, m_receivedAt);
     added.mayOverlap = added.handler->isRetryable();
     if (!added.keepOpen)
         m_intake = intake::Ignored;
--- a/gypsumhub/gateway/caller_connection.h
+++ b/gypsumhub/gateway/caller_connection.h
@@ -55,6 +55,8 @@
 
     gateway_context& m_context;
     tcp_socket m_socket;
+    /// The caller's IP address.
+    std::string m_callerAddress;
     deadline_timer m_readTimer;
     deadline_timer m_writeTimer;
     steady_timer m_spaceTimer;
--- /dev/null
+++ b/gypsumhub/gateway/crash_watcher.cpp
@@ -0,0 +1,153 @@
+#include "gypsumhub/gateway/crash_watcher.h"
+
+#include "gypsumhub/core/clock.h"
+#include "gypsumhub/gateway/request_identity.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace gypsumhub {
+
+namespace {
+
+    // A refusal arrives within a round trip.
+    constexpr auto checkTimeout = milliseconds(450);
+    // Each message is sent once more after each interval.
+    constexpr auto repeatInterval = milliseconds(400);
+    constexpr auto repeatCount = 2U;
+    constexpr auto quarantinesInterval = milliseconds(1000);
+    // Bounds what a node sends when very many targets crash at once.
+    constexpr auto maxRepeated = size_t { 32 };
+
+} // namespace
+
+crash_watcher::crash_watcher(gateway_context& context, sender send)
+    : m_context(context)
+    , m_send(std::move(send))
+{
+}
+
+auto crash_watcher::checkTarget(std::shared_ptr<target_state> target, const request_fingerprint& lost) -> void
+{
+    auto& id = target->registration.id;
+    auto [found, isNew] = m_checks.try_emplace(id, pending_check { target, bootClockNow(), {} });
+    found->second.inFlight.push_back(lost);
+    if (isNew)
+        asio::co_spawn(m_context.io.get_executor(), runCheck(id), asio::detached);
+}
+
+auto crash_watcher::connectTo(endpoint address) -> task<error_code>
+{
+    auto parseError = error_code {};
+    auto number = asio::ip::make_address(address.address, parseError);
+    if (parseError)
+        co_return parseError;
+    auto socket = tcp_socket(m_context.io.get_executor());
+    auto timer = deadline_timer(m_context.io.get_executor());
+    timer.arm(bootClockNow() + checkTimeout, [&socket] { closeNow(socket); });
+    auto [error] = co_await socket.async_connect({ number, address.port }, useTask);
+    co_return error;
+}
+
+auto crash_watcher::runCheck(std::string targetId) -> task<>
+{
+    auto address = m_checks.at(targetId).target->registration.address;
+    auto error = co_await connectTo(address);
+    auto check = std::move(m_checks.extract(targetId).mapped());
+    if (error == asio::error::connection_refused)
+        reportCrash(check);
+}
+
+auto crash_watcher::reportCrash(const pending_check& check) -> void
+{
+    auto now = bootClockNow();
+    auto& registration = check.target->registration;
+    auto report = crash_report { registration.id, registration.incarnation, registration.service, check.lostAt, check.inFlight };
+    std::erase_if(report.inFlight, [&](auto& request) { return m_context.poisonRequests.isProven(request, now); });
+    if (report.inFlight.size() > maxDatagramFingerprints)
+        report.inFlight.resize(maxDatagramFingerprints);
+    ++m_context.counters.targetCrashes;
+    auto requests = boost::json::array {};
+    for (auto& request : report.inFlight)
+        requests.emplace_back(toString(request));
+    m_context.log.write(log_class::Notable, "target_crashed",
+        { { "target", report.target }, { "service", report.service }, { "lost", check.inFlight.size() }, { "suspects", std::move(requests) } });
+    m_context.poisonRequests.recordCrash(report, now);
+    sendRepeatedly({ m_context.settings.name, std::vector<crash_report> { std::move(report) } });
+}
+
+auto crash_watcher::recordSuccess(const request_fingerprint& request) -> void
+{
+    if (m_context.poisonRequests.recordSuccess(request, bootClockNow()))
+        sendRepeatedly({ m_context.settings.name, exonerations { { request } } });
+}
+
+auto crash_watcher::sendRepeatedly(node_datagram datagram) -> void
+{
+    sendToFleet(datagram);
+    if (m_repeated.empty())
+        m_nextRepeatAt = bootClockNow() + repeatInterval;
+    if (m_repeated.size() == maxRepeated)
+        m_repeated.pop_front();
+    m_repeated.push_back({ std::move(datagram), repeatCount });
+}
+
+auto crash_watcher::sendToFleet(const node_datagram& datagram) -> void
+{
+    // The request may come to any node, so crashes concern the whole fleet.
+    m_send(datagram, m_context.memberView.fleetRecipients(m_context.random()));
+}
+
+auto crash_watcher::handleDatagram(const node_datagram& datagram) -> void
+{
+    auto now = bootClockNow();
+    auto& detector = m_context.poisonRequests;
+    if (auto* reports = std::get_if<std::vector<crash_report>>(&datagram.content)) {
+        for (auto& report : *reports)
+            detector.recordCrash(report, now);
+    } else if (auto* exonerated = std::get_if<exonerations>(&datagram.content)) {
+        for (auto& request : exonerated->fingerprints)
+            detector.recordExoneration(request, now);
+    } else if (auto* quarantines = std::get_if<std::vector<quarantined_request>>(&datagram.content)) {
+        for (auto& request : *quarantines)
+            detector.recordQuarantine(request, now);
+        // Sent periodically by the nodes of each data centre.
+        return;
+    }
+    auto* sender = m_context.memberView.find(datagram.sender);
+    if (sender != nullptr && sender->dataCentre != m_context.settings.dataCentre)
+        m_send({ m_context.settings.name, datagram.content }, m_context.memberView.localPeers());
+}
+
+auto crash_watcher::tick(time_point now) -> void
+{
+    if (!m_repeated.empty() && now >= m_nextRepeatAt) {
+        m_nextRepeatAt = now + repeatInterval;
+        for (auto& message : m_repeated) {
+            sendToFleet(message.datagram);
+            --message.remaining;
+        }
+        std::erase_if(m_repeated, [](auto& message) { return message.remaining == 0; });
+    }
+    if (m_context.poisonRequests.isEmpty() || now < m_nextQuarantinesAt)
+        return;
+    m_nextQuarantinesAt = now + quarantinesInterval;
+    auto quarantines = m_context.poisonRequests.quarantined(now);
+    logQuarantines(quarantines);
+    if (!quarantines.empty())
+        m_send({ m_context.settings.name, std::move(quarantines) }, m_context.memberView.recipients(now));
+}
+
+auto crash_watcher::logQuarantines(std::span<const quarantined_request> quarantines) -> void
+{
+    for (auto& request : quarantines) {
+        if (m_logged.insert(request.fingerprint).second)
+            m_context.log.write(log_class::Notable, "request_quarantined", { { "fingerprint", toString(request.fingerprint) } });
+    }
+    // Forgets all instead of single entries; a quarantine that lasts is then logged once more.
+    if (m_logged.size() > poison_request_detector::maxQuarantined)
+        m_logged.clear();
+}
+
+} // namespace gypsumhub
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -7,6 +7,7 @@
 #include "gypsumhub/decision/selection/demand_meter.h"
 #include "gypsumhub/decision/selection/load_balancer.h"
 #include "gypsumhub/decision/selection/membership_view.h"
+#include "gypsumhub/decision/selection/poison_request_detector.h"
 #include "gypsumhub/decision/selection/registration_view.h"
 #include "gypsumhub/decision/selection/shutdown_schedule.h"
 #include "gypsumhub/decision/selection/weighted_round_robin.h"
@@ -62,6 +63,7 @@
     load_balancer balancer;
     membership_view memberView;
     registration_view view;
+    poison_request_detector poisonRequests;
     /// When the view was last known to match the store.
     time_point viewConfirmedAt {};
     /// Before the members that hold connections.
@@ -73,6 +75,10 @@
     std::map<std::string, weighted_round_robin, std::less<>> roundRobins;
     /// Sends outcomes to the other nodes of the region; set by `gateway_node`.
     std::function<void(std::vector<peer_outcome>)> broadcastOutcomes;
+    /// Called when a request to a target ended without an answer since its connection ended; set by `gateway_node`.
+    std::function<void(std::shared_ptr<target_state>, const request_fingerprint&)> onRequestLost;
+    /// Called when a target answered a request with success; set by `gateway_node`.
+    std::function<void(const request_fingerprint&)> onRequestSucceeded;
     uint32_t openRequests { 0 };
     time_point startedAt;
     /// Requests held until the node is initialized.
--- a/gypsumhub/gateway/gateway_counters.cpp
+++ b/gypsumhub/gateway/gateway_counters.cpp
@@ -25,6 +25,8 @@
         { "outcomes_heard_total", "Outcomes received from other nodes.", &gateway_counters::outcomesReceived },
         { "store_failures_total", "Calls to the store that failed.", &gateway_counters::storeFailures },
         { "bad_datagrams_total", "Datagrams that were malformed or from an unknown sender.", &gateway_counters::badDatagrams },
+        { "target_crashes_total", "Targets that ended with requests of this node in flight.", &gateway_counters::targetCrashes },
+        { "quarantine_refusals_total", "Requests refused since they crash the targets that run them.", &gateway_counters::quarantineRefusals },
     });
 
 } // namespace
--- a/gypsumhub/gateway/gateway_counters.h
+++ b/gypsumhub/gateway/gateway_counters.h
@@ -50,6 +50,8 @@
     std::map<std::string, uint64_t, std::less<>> storeCalls;
     std::map<std::string, uint64_t, std::less<>> peerListings;
     uint64_t badDatagrams { 0 };
+    uint64_t targetCrashes { 0 };
+    uint64_t quarantineRefusals { 0 };
     latency_histogram queueingDelay;
     latency_histogram responseTime;
     latency_histogram totalTime;
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -35,6 +35,7 @@
             m_peers.send({ m_context.settings.name, std::vector<view_change>(part.begin(), part.end()) }, m_context.memberView.recipients(bootClockNow()));
         } }, [this] { sendHello(); } })
     , m_peers(m_context.io, [this](std::optional<node_datagram> datagram, std::string_view address) { handleDatagram(std::move(datagram), address); })
+    , m_crashes(m_context, [this](const node_datagram& datagram, std::span<const node_registration> receivers) { m_peers.send(datagram, receivers); })
     , m_readiness(m_context.io, [this](std::string_view target) { return answerReadiness(target); })
     , m_directory(m_context.io, [this](std::string_view target) { return answerDirectory(target); })
     , m_metrics(m_context.io, [this](std::string_view) { return http_answer { 200, "text/plain; version=0.0.4", formatGatewayMetrics(m_context, m_store.callCount()) }; })
@@ -44,6 +45,8 @@
     , m_signals(m_context.io, SIGTERM, SIGINT, SIGHUP)
 {
     m_context.broadcastOutcomes = [this](std::vector<peer_outcome> outcomes) { m_peers.send({ m_context.settings.name, std::move(outcomes) }, peersInRegion()); };
+    m_context.onRequestLost = [this](std::shared_ptr<target_state> target, const request_fingerprint& lost) { m_crashes.checkTarget(std::move(target), lost); };
+    m_context.onRequestSucceeded = [this](const request_fingerprint& succeeded) { m_crashes.recordSuccess(succeeded); };
 }
 
 auto gateway_node::run() -> leaf::result<void>
@@ -96,6 +99,7 @@
         for (auto& [service, dispatcher] : m_context.dispatchers)
             dispatcher->dispatchWaiting();
         m_watcher.tick();
+        m_crashes.tick(now);
         if (now >= m_nextHello)
             sendHello();
         if (now >= m_nextSweep) {
@@ -176,6 +180,8 @@
             m_context.recordPeerOutcome(outcome, datagram->sender);
     } else if (auto* changes = std::get_if<std::vector<view_change>>(&datagram->content))
         m_watcher.handleChanges(*changes);
+    else
+        m_crashes.handleDatagram(*datagram);
 }
 
 auto gateway_node::answerReadiness(std::string_view target) -> http_answer
--- a/gypsumhub/gateway/gateway_node.h
+++ b/gypsumhub/gateway/gateway_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gypsumhub/decision/selection/transfer_limit.h"
+#include "gypsumhub/gateway/crash_watcher.h"
 #include "gypsumhub/gateway/gateway_context.h"
 #include "gypsumhub/gateway/http_responder.h"
 #include "gypsumhub/gateway/peer_channel.h"
@@ -43,6 +44,7 @@
     kv_client m_store;
     store_watcher m_watcher;
     peer_channel m_peers;
+    crash_watcher m_crashes;
     http_responder m_readiness;
     http_responder m_directory;
     http_responder m_metrics;
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -3,6 +3,7 @@
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/decision/selection/start_hold.h"
 #include "gypsumhub/gateway/outbound_head.h"
+#include "gypsumhub/gateway/request_identity.h"
 #include "gypsumhub/gateway/request_target.h"
 #include "gypsumhub/platform/wire_names.h"
 #include "gypsumhub/proxy/message_fields.h"
@@ -42,10 +43,11 @@
 
 } // namespace
 
-request_handler::request_handler(gateway_context& context, inbound_message request, time_point arrivedAt)
+request_handler::request_handler(gateway_context& context, inbound_message request, std::string_view callerAddress, time_point arrivedAt)
     : m_context(context)
     , m_request(std::move(request))
     , m_id(m_request[wire_names::requestId])
+    , m_fingerprint(fingerprintOf(m_request, callerAddress))
     , m_arrivedAt(arrivedAt)
     , m_deadline(arrivedAt)
     , m_log(context.log, m_id)
@@ -129,6 +131,10 @@
     m_dispatcher->retryBudget().recordRequest(m_arrivedAt);
     m_body = std::make_shared<const std::string>(m_request.body());
     for (;;) {
+        if (isQuarantined()) {
+            ++m_context.counters.quarantineRefusals;
+            co_return m_mayHaveRun ? finalReply() : refuse("quarantined", poison_request_detector::quarantineTime);
+        }
         if (m_sent > 0 && !mayRetry())
             co_return finalReply();
         auto placed = co_await m_dispatcher->place(makePlacementRequest(), m_wait);
@@ -154,9 +160,14 @@
     }
 }
 
+auto request_handler::isQuarantined() -> bool
+{
+    return m_context.poisonRequests.quarantinedUntil(m_fingerprint, bootClockNow()).has_value();
+}
+
 auto request_handler::mayRetry() -> bool
 {
-    if (m_sent >= m_route->maxAttempts)
+    if (m_sent >= m_route->maxAttempts || m_context.poisonRequests.isSuspect(m_fingerprint, bootClockNow()))
         return false;
     return std::exchange(m_hasRetry, false) || acquireRetry();
 }
@@ -209,7 +220,7 @@
     auto now = bootClockNow();
     // The target may have started draining, or the caller may have disconnected, while the connection was opened.
     auto isTooLate = now + minTimeLeft >= targetDeadline() || !m_context.shutdown.accepts(now, m_deadline);
-    if (target.isClosed || target.registration.isDraining || m_callerLeft || isTooLate) {
+    if (target.isClosed || target.registration.isDraining || m_callerLeft || isTooLate || isQuarantined()) {
         m_context.connections.release(target.registration.id, connection);
         co_return attempt_end::NotSent;
     }
@@ -227,26 +238,29 @@
         m_context.connections.release(target.registration.id, connection);
     m_context.counters.responseTime.record(bootClockNow() - now);
     // An answer after a stall is recorded with the current time, so that it counteracts the evidence of the stall.
-    co_return classify(target, result, hadStalled && result.end == exchange_end::Answered ? bootClockNow() : now);
+    co_return classify(used, result, hadStalled && result.end == exchange_end::Answered ? bootClockNow() : now);
 }
 
-auto request_handler::classify(target_state& target, exchange_result& result, time_point sentAt) -> attempt_end
+auto request_handler::classify(const std::shared_ptr<target_state>& target, exchange_result& result, time_point sentAt) -> attempt_end
 {
     m_last = {};
     if (result.end == exchange_end::Answered)
-        return classifyAnswer(target, result, sentAt);
+        return classifyAnswer(*target, result, sentAt);
     m_mayHaveRun = true;
     m_last.end = result.end;
     recordLost(target, result, sentAt);
     return attempt_end::Failed;
 }
 
-auto request_handler::recordLost(target_state& target, const exchange_result& result, time_point sentAt) -> void
+auto request_handler::recordLost(const std::shared_ptr<target_state>& target, const exchange_result& result, time_point sentAt) -> void
 {
+    // A target that is silent may be cut off instead of having crashed.
+    if (result.end == exchange_end::Lost)
+        m_context.onRequestLost(target, m_fingerprint);
     if (m_callerLeft || result.end == exchange_end::Abandoned)
         return;
     auto kind = result.end == exchange_end::TimedOut ? outcome_kind::Stall : outcome_kind::Failure;
-    m_context.recordOutcome(target, kind, sentAt, result.end == exchange_end::TimedOut);
+    m_context.recordOutcome(*target, kind, sentAt, result.end == exchange_end::TimedOut);
 }
 
 auto request_handler::classifyAnswer(target_state& target, exchange_result& result, time_point sentAt) -> attempt_end
@@ -283,6 +297,8 @@
     }
     m_context.recordOutcome(target, outcome_kind::Success, sentAt, false);
     m_context.balancer.recordResponseTime(target, now - sentAt);
+    if (isSuccess)
+        m_context.onRequestSucceeded(m_fingerprint);
     return attempt_end::Final;
 }
 
@@ -364,6 +380,8 @@
     auto isSuccess = reply.result_int() / 100 == 2;
     auto fields = boost::json::object { { "id", m_id }, { "status", reply.result_int() }, { "reason", m_reason }, { "sent", m_sent },
         { "took_ms", (now - m_arrivedAt).milliseconds() }, { "left_ms", (m_deadline - now).milliseconds() } };
+    if (!isSuccess)
+        fields["fingerprint"] = toString(m_fingerprint);
     if (m_route) {
         fields["route"] = m_route->name;
         m_context.demand.recordBytes(m_route->host, m_request.body().size() + reply.body().size(), now);
--- a/gypsumhub/gateway/request_handler.h
+++ b/gypsumhub/gateway/request_handler.h
@@ -18,7 +18,8 @@
 /// retries it where that is allowed. Answers 503 (not run) only when no target can have begun to run the request.
 class request_handler : public std::enable_shared_from_this<request_handler> {
 public:
-    request_handler(gateway_context&, inbound_message, time_point arrivedAt);
+    /// `callerAddress` is the caller's IP address.
+    request_handler(gateway_context&, inbound_message, std::string_view callerAddress, time_point arrivedAt);
 
     auto run() -> task<caller_reply>;
     /// Whether the route of the request allows it to run more than once. False while the node has no routes.
@@ -49,10 +50,12 @@
     auto serve() -> task<caller_reply>;
     auto attempt(std::shared_ptr<target_state>) -> task<attempt_end>;
     auto openConnection(target_state&) -> task<std::shared_ptr<target_http_connection>>;
-    auto classify(target_state&, exchange_result&, time_point sentAt) -> attempt_end;
+    auto classify(const std::shared_ptr<target_state>&, exchange_result&, time_point sentAt) -> attempt_end;
     auto classifyAnswer(target_state&, exchange_result&, time_point sentAt) -> attempt_end;
-    auto recordLost(target_state&, const exchange_result&, time_point sentAt) -> void;
+    auto recordLost(const std::shared_ptr<target_state>&, const exchange_result&, time_point sentAt) -> void;
     auto handleStall() -> void;
+    /// Whether the request must not be sent since it crashes the targets that run it.
+    auto isQuarantined() -> bool;
     auto mayRetry() -> bool;
     auto acquireRetry() -> bool;
 
@@ -66,6 +69,7 @@
     gateway_context& m_context;
     inbound_message m_request;
     std::string m_id;
+    request_fingerprint m_fingerprint;
     time_point m_arrivedAt;
     /// The arrival plus the timeout of the route, or the caller's deadline if that is earlier.
     time_point m_deadline;
--- a/unit_tests/decision/selection/membership_view_test.cpp
+++ b/unit_tests/decision/selection/membership_view_test.cpp
@@ -321,3 +321,25 @@
     // Nobody took over in time.
     CHECK(readersAt(milliseconds(1'900), milliseconds(1'900)).first == nodes);
 }
+
+TEST_CASE("a message to the whole fleet reaches all nodes of the own data centre, and others of a distant one each time it is sent")
+{
+    auto memberView = membership_view(makeNode("a-1", "a1"));
+    for (auto index = 2; index <= 20; ++index)
+        memberView.recordRegistration(makeNode("a-" + std::to_string(index), "a1"));
+    for (auto index = 1; index <= 20; ++index)
+        memberView.recordRegistration(makeNode("b-" + std::to_string(index), "b1"));
+    memberView.recordRegistration(makeNode("c-1", "c1"));
+    auto reached = std::map<std::string, int> {};
+    for (auto salt = uint64_t { 0 }; salt < 3; ++salt) {
+        auto recipients = memberView.fleetRecipients(salt);
+        CHECK(recipients.size() == 19 + 2 + 1);
+        for (auto& recipient : recipients)
+            ++reached[recipient.dataCentre == "b1" ? recipient.name : recipient.dataCentre];
+    }
+    CHECK(reached["a1"] == 3 * 19);
+    CHECK(reached["c1"] == 3);
+    // More than two nodes of the distant data centre, so that one that has failed does not keep the message from it.
+    CHECK(std::ranges::count_if(reached, [](auto& entry) { return entry.first.starts_with("b-"); }) > 2);
+    CHECK(memberView.localPeers().size() == 19);
+}
--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -158,7 +158,7 @@
     std::vector<std::unique_ptr<fake_gateway_target>> targets;
     std::vector<std::unique_ptr<gateway_node>> nodes;
 
-private:
+    /// Nodes have the indices from 0 in the order of their start.
     auto startNode(int index) -> void
     {
         auto settings = gateway_settings {};
@@ -185,6 +185,7 @@
         });
     }
 
+private:
     duration m_stopLimit;
     std::string m_logPath { "/tmp/gypsumhub_gateway_test." + std::to_string(::getpid()) + ".log" };
     std::FILE* m_log { std::fopen(m_logPath.c_str(), "w+") };
--- a/unit_tests/gateway/poison_request_test.cpp
+++ b/unit_tests/gateway/poison_request_test.cpp
@@ -208,4 +208,11 @@
         CHECK(ask(node, honest, "127.0.0.99").status == 200);
     }
     CHECK(ask(0, makePoison("POST", "poison-again")).status == 503);
+
+    // A node that starts afterwards has seen no crash and receives the quarantines of the others.
+    fleet.startNode(2);
+    REQUIRE(eventually([&] { return fleet.isReady(2); }));
+    sleepFor(1'500);
+    CHECK(ask(2, makePoison("POST", "poison-late")).status == 503);
+    CHECK(fleet.executionsOf("poison-late") == 0);
 }
