Gateway: a request that crashes targets is known although its copies come from many addresses

The fingerprint contained the caller's address, so copies from several addresses counted as different requests.

Change: a request has two fingerprints, with and without the caller's address; credentials count in both. Both are in crash reports. A crash is charged to the one with more crashes, and with as many to the one of the caller. So the content is quarantined for everybody only when it crashed targets for several callers and did not succeed for any.

With one address the other callers are still served.

--- a/gypsumhub/decision/selection/crash_report.h
+++ b/gypsumhub/decision/selection/crash_report.h
@@ -9,22 +9,31 @@
 
 namespace gypsumhub {
 
-/// Identifies what a caller asks for, however often it is sent: a hash of the caller's address, host, method, path, query and body,
-/// without the id of the request.
+/// Identifies what is asked for, however often it is sent: a hash of host, method, path, query and body, without the id of the
+/// request. A request has two: one for its content alone, and one for its content as asked for by its caller.
 struct request_fingerprint {
     uint64_t high { 0 };
+    /// The lowest bit tells whether the caller is left out.
     uint64_t low { 0 };
 
+    auto isOfAnyCaller() const -> bool { return (low & 1) != 0; }
     auto operator<=>(const request_fingerprint&) const = default;
 };
 
+/// Both fingerprints of a request.
+struct request_identity {
+    request_fingerprint ofCaller;
+    request_fingerprint ofAnyCaller;
+};
+
 /// A target that ended with requests in flight, as one node saw it. Reports of several nodes about one incarnation add up.
 struct crash_report {
     std::string target;
     uint64_t incarnation { 0 };
     std::string service;
     time_point at;
-    /// The requests of the reporting node that were in flight at the target. Each of them may have caused the crash.
+    /// Both fingerprints of the requests of the reporting node that were in flight at the target. Each of them may have caused the
+    /// crash.
     std::vector<request_fingerprint> inFlight;
 };
 
--- a/gypsumhub/decision/selection/poison_request_detector.cpp
+++ b/gypsumhub/decision/selection/poison_request_detector.cpp
@@ -209,6 +209,18 @@
     return known != m_evidence.end() && known->second.charged.count >= suspectCharges;
 }
 
+auto poison_request_detector::quarantinedUntil(const request_identity& request, time_point now) -> std::optional<time_point>
+{
+    auto ofCaller = quarantinedUntil(request.ofCaller, now);
+    auto ofAnyCaller = quarantinedUntil(request.ofAnyCaller, now);
+    return std::max(ofCaller, ofAnyCaller);
+}
+
+auto poison_request_detector::isSuspect(const request_identity& request, time_point now) -> bool
+{
+    return isSuspect(request.ofCaller, now) || isSuspect(request.ofAnyCaller, now);
+}
+
 auto poison_request_detector::quarantined(time_point now) -> std::vector<quarantined_request>
 {
     evaluate(now);
@@ -341,14 +353,16 @@
         if (now < each.settledAt)
             continue;
         auto hasQuarantined = false;
-        auto most = uint32_t { 0 };
+        // The most likely cause. With as many crashes the content of one caller precedes the content alone.
+        auto most = std::pair<uint32_t, bool> {};
+        auto rank = [](auto* known) { return std::pair(known->second.chargeable.count, !known->first.isOfAnyCaller()); };
         for (auto* known : each.inFlight) {
             hasQuarantined = hasQuarantined || known->second.isQuarantined;
-            most = std::max(most, known->second.chargeable.count);
+            most = std::max(most, rank(known));
         }
         for (auto index = size_t { 0 }; index < each.inFlight.size(); ++index) {
             auto& known = each.inFlight[index]->second;
-            auto isMostLikely = hasQuarantined ? known.isQuarantined : known.chargeable.count == most;
+            auto isMostLikely = hasQuarantined ? known.isQuarantined : rank(each.inFlight[index]) == most;
             if (!isMostLikely || (each.chargeable >> index & 1U) == 0)
                 continue;
             known.charged.add(each.at);
--- a/gypsumhub/decision/selection/poison_request_detector.h
+++ b/gypsumhub/decision/selection/poison_request_detector.h
@@ -15,8 +15,9 @@
 /// Finds the requests that crash the targets that run them and quarantines them, from the crash reports of all nodes.
 ///
 /// A request is charged with the crashes at which it was in flight, unless a common cause or a request with more crashes explains
-/// them better, and is quarantined when it is charged with three that did not all happen at once. Nodes that have received the same
-/// reports, successes and quarantines decide alike.
+/// them better, and is quarantined when it is charged with three that did not all happen at once. Where its content crashes targets
+/// whoever the caller is, the content is quarantined, otherwise the content of that caller. Nodes that have received the same reports,
+/// successes and quarantines decide alike.
 ///
 /// The cost of an evaluation is linear in the recorded requests, and evaluations are at least `evaluationInterval` apart. Without
 /// crashes and quarantines every function is O(1).
@@ -61,6 +62,9 @@
     /// The end of the request's quarantine; it must not be sent before. Asking means that a copy has arrived, so it extends the
     /// quarantine to `quarantineTime` from now.
     auto quarantinedUntil(const request_fingerprint&, time_point now) -> std::optional<time_point>;
+    /// The same for a request with both its fingerprints.
+    auto quarantinedUntil(const request_identity&, time_point now) -> std::optional<time_point>;
+    auto isSuspect(const request_identity&, time_point now) -> bool;
     /// Whether the request is charged with two crashes. It is then not retried within the same attempt of its caller.
     auto isSuspect(const request_fingerprint&, time_point now) -> bool;
     /// Quarantines to send to other nodes, newest first, at most `maxQuarantinedPerMessage`. When there are more, half of the message
--- a/gypsumhub/gateway/crash_watcher.cpp
+++ b/gypsumhub/gateway/crash_watcher.cpp
@@ -28,11 +28,11 @@
 {
 }
 
-auto crash_watcher::checkTarget(std::shared_ptr<target_state> target, const request_fingerprint& lost) -> void
+auto crash_watcher::checkTarget(std::shared_ptr<target_state> target, const request_identity& lost) -> void
 {
     auto& id = target->registration.id;
     auto [found, isNew] = m_checks.try_emplace(id, pending_check { target, bootClockNow(), {} });
-    found->second.inFlight.push_back(lost);
+    found->second.inFlight.insert(found->second.inFlight.end(), { lost.ofCaller, lost.ofAnyCaller });
     if (isNew)
         asio::co_spawn(m_context.io.get_executor(), runCheck(id), asio::detached);
 }
@@ -72,15 +72,21 @@
     for (auto& request : report.inFlight)
         requests.emplace_back(toString(request));
     m_context.log.write(log_class::Notable, "target_crashed",
-        { { "target", report.target }, { "service", report.service }, { "lost", check.inFlight.size() }, { "suspects", std::move(requests) } });
+        { { "target", report.target }, { "service", report.service }, { "lost", check.inFlight.size() / 2 }, { "suspects", std::move(requests) } });
     m_context.poisonRequests.recordCrash(report, now);
     sendRepeatedly({ m_context.settings.name, std::vector<crash_report> { std::move(report) } });
 }
 
-auto crash_watcher::recordSuccess(const request_fingerprint& request) -> void
+auto crash_watcher::recordSuccess(const request_identity& request) -> void
 {
-    if (m_context.poisonRequests.recordSuccess(request, bootClockNow()))
-        sendRepeatedly({ m_context.settings.name, exonerations { { request } } });
+    auto now = bootClockNow();
+    auto exonerated = exonerations {};
+    for (auto& fingerprint : { request.ofCaller, request.ofAnyCaller }) {
+        if (m_context.poisonRequests.recordSuccess(fingerprint, now))
+            exonerated.fingerprints.push_back(fingerprint);
+    }
+    if (!exonerated.fingerprints.empty())
+        sendRepeatedly({ m_context.settings.name, std::move(exonerated) });
 }
 
 auto crash_watcher::sendRepeatedly(node_datagram datagram) -> void
--- a/gypsumhub/gateway/crash_watcher.h
+++ b/gypsumhub/gateway/crash_watcher.h
@@ -21,9 +21,9 @@
     crash_watcher(gateway_context&, sender);
 
     /// A request ended without an answer since its connection to the target ended. Checks whether the target has crashed.
-    auto checkTarget(std::shared_ptr<target_state>, const request_fingerprint&) -> void;
+    auto checkTarget(std::shared_ptr<target_state>, const request_identity&) -> void;
     /// A target answered the request with success.
-    auto recordSuccess(const request_fingerprint&) -> void;
+    auto recordSuccess(const request_identity&) -> void;
     /// Takes what another node has sent, and passes on to this data centre what comes from another one.
     auto handleDatagram(const node_datagram&) -> void;
     /// Repeats recent reports, since datagrams can be lost, and sends the quarantines to nodes that may not know them.
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -76,9 +76,9 @@
     /// Sends outcomes to the other nodes of the region; set by `gateway_node`.
     std::function<void(std::vector<peer_outcome>)> broadcastOutcomes;
     /// Called when a request to a target ended without an answer since its connection ended; set by `gateway_node`.
-    std::function<void(std::shared_ptr<target_state>, const request_fingerprint&)> onRequestLost;
+    std::function<void(std::shared_ptr<target_state>, const request_identity&)> onRequestLost;
     /// Called when a target answered a request with success; set by `gateway_node`.
-    std::function<void(const request_fingerprint&)> onRequestSucceeded;
+    std::function<void(const request_identity&)> onRequestSucceeded;
     uint32_t openRequests { 0 };
     time_point startedAt;
     /// Requests held until the node is initialized.
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -45,8 +45,8 @@
     , m_signals(m_context.io, SIGTERM, SIGINT, SIGHUP)
 {
     m_context.broadcastOutcomes = [this](std::vector<peer_outcome> outcomes) { m_peers.send({ m_context.settings.name, std::move(outcomes) }, peersInRegion()); };
-    m_context.onRequestLost = [this](std::shared_ptr<target_state> target, const request_fingerprint& lost) { m_crashes.checkTarget(std::move(target), lost); };
-    m_context.onRequestSucceeded = [this](const request_fingerprint& succeeded) { m_crashes.recordSuccess(succeeded); };
+    m_context.onRequestLost = [this](std::shared_ptr<target_state> target, const request_identity& lost) { m_crashes.checkTarget(std::move(target), lost); };
+    m_context.onRequestSucceeded = [this](const request_identity& succeeded) { m_crashes.recordSuccess(succeeded); };
 }
 
 auto gateway_node::run() -> leaf::result<void>
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -47,7 +47,7 @@
     : m_context(context)
     , m_request(std::move(request))
     , m_id(m_request[wire_names::requestId])
-    , m_fingerprint(fingerprintOf(m_request, callerAddress))
+    , m_identity(identityOf(m_request, callerAddress))
     , m_arrivedAt(arrivedAt)
     , m_deadline(arrivedAt)
     , m_log(context.log, m_id)
@@ -162,12 +162,12 @@
 
 auto request_handler::isQuarantined() -> bool
 {
-    return m_context.poisonRequests.quarantinedUntil(m_fingerprint, bootClockNow()).has_value();
+    return m_context.poisonRequests.quarantinedUntil(m_identity, bootClockNow()).has_value();
 }
 
 auto request_handler::mayRetry() -> bool
 {
-    if (m_sent >= m_route->maxAttempts || m_context.poisonRequests.isSuspect(m_fingerprint, bootClockNow()))
+    if (m_sent >= m_route->maxAttempts || m_context.poisonRequests.isSuspect(m_identity, bootClockNow()))
         return false;
     return std::exchange(m_hasRetry, false) || acquireRetry();
 }
@@ -256,7 +256,7 @@
 {
     // A target that is silent may be cut off instead of having crashed.
     if (result.end == exchange_end::Lost)
-        m_context.onRequestLost(target, m_fingerprint);
+        m_context.onRequestLost(target, m_identity);
     if (m_callerLeft || result.end == exchange_end::Abandoned)
         return;
     auto kind = result.end == exchange_end::TimedOut ? outcome_kind::Stall : outcome_kind::Failure;
@@ -298,7 +298,7 @@
     m_context.recordOutcome(target, outcome_kind::Success, sentAt, false);
     m_context.balancer.recordResponseTime(target, now - sentAt);
     if (isSuccess)
-        m_context.onRequestSucceeded(m_fingerprint);
+        m_context.onRequestSucceeded(m_identity);
     return attempt_end::Final;
 }
 
@@ -381,7 +381,7 @@
     auto fields = boost::json::object { { "id", m_id }, { "status", reply.result_int() }, { "reason", m_reason }, { "sent", m_sent },
         { "took_ms", (now - m_arrivedAt).milliseconds() }, { "left_ms", (m_deadline - now).milliseconds() } };
     if (!isSuccess)
-        fields["fingerprint"] = toString(m_fingerprint);
+        fields["fingerprint"] = toString(m_identity.ofAnyCaller);
     if (m_route) {
         fields["route"] = m_route->name;
         m_context.demand.recordBytes(m_route->host, m_request.body().size() + reply.body().size(), now);
--- a/gypsumhub/gateway/request_handler.h
+++ b/gypsumhub/gateway/request_handler.h
@@ -69,7 +69,7 @@
     gateway_context& m_context;
     inbound_message m_request;
     std::string m_id;
-    request_fingerprint m_fingerprint;
+    request_identity m_identity;
     time_point m_arrivedAt;
     /// The arrival plus the timeout of the route, or the caller's deadline if that is earlier.
     time_point m_deadline;
--- a/gypsumhub/gateway/request_identity.cpp
+++ b/gypsumhub/gateway/request_identity.cpp
@@ -25,13 +25,16 @@
 
 } // namespace
 
-auto fingerprintOf(const inbound_message& request, std::string_view callerAddress) -> request_fingerprint
+auto identityOf(const inbound_message& request, std::string_view callerAddress) -> request_identity
 {
     auto method = request.method_string();
     auto host = hostOf(request[http::field::host]);
     auto target = request.target();
-    auto fields = std::to_array<std::string_view>({ callerAddress, host, { method.data(), method.size() }, { target.data(), target.size() }, request.body() });
-    return { hashFields(fields, highSeed), hashFields(fields, lowSeed) };
+    auto credentials = request[http::field::authorization];
+    auto fields = std::to_array<std::string_view>({ host, { method.data(), method.size() }, { target.data(), target.size() }, { credentials.data(), credentials.size() }, request.body() });
+    auto ofAnyCaller = request_fingerprint { hashFields(fields, highSeed), hashFields(fields, lowSeed) | 1 };
+    auto address = std::span(&callerAddress, 1);
+    return { { hashFields(address, ofAnyCaller.high), hashFields(address, ofAnyCaller.low) & ~uint64_t { 1 } }, ofAnyCaller };
 }
 
 auto toString(const request_fingerprint& fingerprint) -> std::string
--- a/unit_tests/decision/selection/crash_reports.h
+++ b/unit_tests/decision/selection/crash_reports.h
@@ -25,7 +25,12 @@
 
 inline auto request(uint64_t number) -> request_fingerprint
 {
-    return { number * 0x9e3779b97f4a7c15U, number };
+    return { number * 0x9e3779b97f4a7c15U, number * 2 };
+}
+
+inline auto ofAnyCaller(uint64_t number) -> request_fingerprint
+{
+    return { number, number * 2 + 1 };
 }
 
 inline const auto poison = request(1);
--- a/unit_tests/decision/selection/poison_request_detector_test.cpp
+++ b/unit_tests/decision/selection/poison_request_detector_test.cpp
@@ -266,3 +266,38 @@
     CHECK(crashes < 20);
     CHECK(tested.quarantinedCount() == 1);
 }
+
+TEST_CASE("a content that crashes targets whoever the caller is is known from three crashes, although each caller sent it once")
+{
+    auto tested = detector {};
+    auto reports = std::vector<crash_report> {};
+    auto content = ofAnyCaller(50);
+    for (auto ms : { 0, 1'000, 2'000 })
+        reports.push_back(makeCrash(ms, { content, unique(), unique() }));
+    recordAll(tested, reports);
+    CHECK(tested.quarantinedUntil(content, settled(2'000)));
+    CHECK(tested.quarantinedUntil(request_identity { unique(), content }, settled(2'000)));
+    CHECK_FALSE(holdsAny(tested, reports, settled(2'000), content));
+}
+
+TEST_CASE("a content that crashes targets for one caller is not held back from others")
+{
+    auto tested = detector {};
+    auto content = ofAnyCaller(50);
+    recordAll(tested, { makeCrash(0, { content, poison }), makeCrash(1'000, { content, poison }), makeCrash(2'000, { content, poison }) });
+    CHECK(tested.quarantinedUntil(poison, settled(2'000)));
+    CHECK_FALSE(tested.quarantinedUntil(content, settled(2'000)));
+    CHECK(tested.quarantinedUntil(request_identity { poison, content }, settled(2'000)));
+    CHECK_FALSE(tested.quarantinedUntil(request_identity { unique(), content }, settled(2'000)));
+}
+
+TEST_CASE("a content that succeeds for other callers is not blamed for the crashes of one")
+{
+    auto tested = detector {};
+    auto content = ofAnyCaller(50);
+    recordAll(tested, { makeCrash(0, { content, poison }), makeCrash(1'000, { content, unique() }) });
+    CHECK(tested.recordSuccess(content, at(1'500)));
+    recordAll(tested, { makeCrash(2'000, { content, poison }), makeCrash(3'000, { content, poison }) });
+    CHECK(tested.quarantinedUntil(poison, settled(3'000)));
+    CHECK_FALSE(tested.quarantinedUntil(content, settled(3'000)));
+}
--- a/unit_tests/gateway/poison_request_test.cpp
+++ b/unit_tests/gateway/poison_request_test.cpp
@@ -79,8 +79,9 @@
     return times;
 }
 
-// Sends copies alternately to both nodes until `time` after the third crash, and waits for all answers.
-auto sendCopies(gateway_fixture& fleet, const std::string& method, duration time) -> std::vector<poison_copy>
+// Sends copies alternately to both nodes until `time` after the third crash, and waits for all answers. With `hasManyCallers` each comes
+// from an address of its own.
+auto sendCopies(gateway_fixture& fleet, const std::string& method, duration time, bool hasManyCallers = false) -> std::vector<poison_copy>
 {
     constexpr auto mostCopies = size_t { 100 };
     auto copies = std::vector<poison_copy> {};
@@ -93,7 +94,8 @@
     while (copies.size() < mostCopies && !isOver()) {
         auto node = static_cast<int>(copies.size() % 2);
         auto& copy = copies.emplace_back(makePoison(method, "poison-" + std::to_string(copies.size())), bootClockNow());
-        threads.emplace_back([&copy, node] { copy.answer = ask(node, copy.request); });
+        auto localAddress = hasManyCallers ? "127.0.1." + std::to_string(copies.size()) : std::string {};
+        threads.emplace_back([&copy, node, localAddress] { copy.answer = ask(node, copy.request, localAddress); });
         sleepFor(150);
     }
     for (auto& thread : threads)
@@ -113,11 +115,12 @@
 
 TEST_CASE("a request that crashes every target which runs it is kept from the targets after the third crash")
 {
-    for (auto& method : { std::string("POST"), std::string("GET") }) {
+    for (auto& [method, hasManyCallers] : { std::pair("POST", false), std::pair("GET", false), std::pair("GET", true) }) {
         CAPTURE(method);
+        CAPTURE(hasManyCallers);
         auto fleet = gateway_fixture(stopLimit, targetCount);
         auto restarter = target_restarter(fleet);
-        auto copies = sendCopies(fleet, method, milliseconds(2'500));
+        auto copies = sendCopies(fleet, method, milliseconds(2'500), hasManyCallers);
         auto crashes = crashTimes(fleet);
         REQUIRE(crashes.size() >= 3);
         auto bound = crashes[2] + milliseconds(1'000);
