--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -4,8 +4,11 @@
 #include "fakes/fake_keyspace_server.h"
 #include "gypsumhub/gateway/gateway_node.h"
 
+#include <atomic>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <cerrno>
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <doctest/doctest.h>
 #include <memory>
@@ -116,6 +119,22 @@
             target->setBehaviour(behaviour);
     }
 
+    /// Stops the thread of a node for a while, as a machine does whose processor allowance is used up.
+    auto pauseNode(int index, std::chrono::milliseconds length) -> void
+    {
+        static auto pause = std::atomic<int64_t> {};
+        pause = length.count();
+        auto action = (struct sigaction) {};
+        action.sa_handler = [](int) {
+            auto savedError = errno;
+            auto left = timespec { pause / 1000, pause % 1000 * 1'000'000 };
+            while (::nanosleep(&left, &left) != 0) { }
+            errno = savedError;
+        };
+        ::sigaction(SIGUSR2, &action, nullptr);
+        ::pthread_kill(m_threads[static_cast<size_t>(index)].native_handle(), SIGUSR2);
+    }
+
     auto executionsOf(const std::string& id) -> int
     {
         auto total = 0;
--- a/unit_tests/proxy/caller_session_test.cpp
+++ b/unit_tests/proxy/caller_session_test.cpp
@@ -162,4 +162,22 @@
     CHECK_THROWS(fixture.caller());
 }
 
+TEST_CASE("during shutdown the node answers a pipelined request that it has read behind the one in flight")
+{
+    auto fixture = proxy_fixture(1);
+    fixture.start();
+    fixture.targets[0]->setFault(fake_fault::Silent);
+    auto caller = fixture.caller();
+    caller.sendRaw("POST /book HTTP/1.1\r\nHost: a\r\nGypsumhub-Deadline: " + std::to_string((wallClockNow() + milliseconds(800)).ns / 1'000'000)
+        + "\r\nContent-Length: 0\r\n\r\nPOST /book HTTP/1.1\r\nHost: a\r\nGypsumhub-Request-Id: behind\r\nContent-Length: 0\r\n\r\n");
+    while (fixture.targets[0]->executed() == 0)
+        std::this_thread::yield();
+    fixture.targets[0]->setFault(fake_fault::None);
+    fixture.server->beginShutdown(wallClockNow() + seconds(10));
+    auto text = caller.readToEnd();
+    CAPTURE(text);
+    CHECK(text.find("Gypsumhub-Request-Id: behind") != std::string::npos);
+    fixture.server->join();
+}
+
 } // namespace gypsumhub
