Proxy: a stopping node answers pipelined requests that it has read

Callers saw the connection close without an answer to a request that they had sent behind another one. Cause: a stopping node closed each connection after its next answer, with requests already read into the buffer. Change: the connection closes with the answer behind which the buffer is empty.

--- a/gypsumhub/proxy/caller_session.cpp
+++ b/gypsumhub/proxy/caller_session.cpp
@@ -190,12 +190,16 @@
         co_return false;
     if (answer.streamed)
         co_return m_keepAlive&& m_socket.is_open();
-    // During shutdown each connection closes after its next answer.
-    auto keepAlive = m_keepAlive && !m_context.stopping.load(std::memory_order_relaxed);
+    auto keepAlive = m_keepAlive && !isLastBeforeStop();
     auto written = co_await writeAnswer(std::move(answer), keepAlive);
     co_return written;
 }
 
+auto caller_session::isLastBeforeStop() const -> bool
+{
+    return m_context.stopping.load(std::memory_order_relaxed) && m_buffer.size() == 0;
+}
+
 auto caller_session::route(caller_request& request) -> task<caller_answer>
 {
     auto snapshot = m_context.snapshot.load();
@@ -300,7 +304,7 @@
     auto message = http::response<http::empty_body>(std::move(head));
     message.version(11);
     m_chunked = !length && m_acceptsChunks;
-    m_keepAlive = m_keepAlive && (length || m_chunked) && !m_context.stopping.load(std::memory_order_relaxed);
+    m_keepAlive = m_keepAlive && (length || m_chunked) && !isLastBeforeStop();
     if (length)
         message.content_length(*length);
     else if (m_chunked)
--- a/gypsumhub/proxy/caller_session.h
+++ b/gypsumhub/proxy/caller_session.h
@@ -56,6 +56,8 @@
     auto receive(size_t maxBytes) -> task<bool>;
     auto sendContinue() -> task<bool>;
     auto handle(inbound_message) -> task<bool>;
+    /// Whether the connection closes with its next answer: the node is stopping and all that was read is answered.
+    auto isLastBeforeStop() const -> bool;
     auto route(caller_request&) -> task<caller_answer>;
     auto writeAnswer(caller_answer, bool keepAlive) -> task<bool>;
     auto closeGracefully() -> task<>;
