Gateway: waits and exchanges that began before a stop end before the process

Callers got no answer to requests that the node had read: what waits for a target, for the startup or for an earlier answer of its connection kept the deadline from before the stop, and io.stop() dropped it at the end. Bytes in the socket at the moment of the closing answer were read and dropped. A reader that leaves bytes unread in the last 60 ms did not wake for the linger, and the reset could destroy the last answer; that one came with.

Ruled out: answering everything with 503 or 504 just before io.stop(), since what is written in that moment may not arrive.

Change: beginShutdown() limits the deadlines of open exchanges and of waiting requests to the latest one that a target may be given. The hold of a starting node ends with a stop. A connection reads without suspending after its decision to read, counts bytes in the socket before it closes, and reads on while it lingers.

New: a pipelined request that can no longer be served is refused and not run; waiting requests expire before the end.

--- a/gypsumhub/decision/selection/placement_queue.cpp
+++ b/gypsumhub/decision/selection/placement_queue.cpp
@@ -44,6 +44,13 @@
     std::erase_if(m_waiting, [&](auto& waiting) { return waiting.ticket == ticket; });
 }
 
+auto placement_queue::limitExpiry(time_point latest) -> void
+{
+    for (auto& waiting : m_waiting)
+        waiting.expiresAt = std::min(waiting.expiresAt, latest);
+    std::ranges::sort(m_waiting, precedes);
+}
+
 auto placement_queue::first() const -> std::optional<waiting_request>
 {
     return m_waiting.empty() ? std::nullopt : std::optional(m_waiting.front());
--- a/gypsumhub/decision/selection/placement_queue.h
+++ b/gypsumhub/decision/selection/placement_queue.h
@@ -48,6 +48,8 @@
     auto first() const -> std::optional<waiting_request>;
     /// Removes and returns the requests that have expired at `now`.
     auto removeExpired(time_point now) -> std::vector<waiting_request>;
+    /// Brings forward the expiry of all requests that would wait longer.
+    auto limitExpiry(time_point latest) -> void;
     auto size() const -> size_t { return m_waiting.size(); }
     auto isEmpty() const -> bool { return m_waiting.empty(); }
 
--- a/gypsumhub/gateway/caller_connection.cpp
+++ b/gypsumhub/gateway/caller_connection.cpp
@@ -17,6 +17,8 @@
     constexpr auto minReadAheadBytes = size_t { 64 * 1024 };
     // How often a connection whose read-ahead is full is checked for having been closed.
     constexpr auto spaceCheckInterval = milliseconds(100);
+    // How often a stopping node that leaves bytes unread checks whether the last answer is written.
+    constexpr auto holdCheckInterval = milliseconds(5);
     // A caller that does not read its answer within this time is considered gone.
     constexpr auto writeTimeout = seconds(10);
     // Limits of discarding what a caller sends behind the last answer.
@@ -51,6 +53,7 @@
 {
     setNoDelay(m_socket);
     auto ignored = error_code {};
+    m_socket.non_blocking(true, ignored);
     m_callerAddress = m_socket.remote_endpoint(ignored).address().to_string();
 }
 
@@ -77,15 +80,18 @@
     auto isOpen = co_await waitForSpace();
     if (!isOpen)
         co_return false;
-    // Waits before it reads, so that a stopping node can leave bytes unread: they must not be read without being answered.
-    auto [waitError] = co_await m_socket.async_wait(tcp_socket::wait_read, useTask);
-    if (waitError)
-        co_return false;
-    if (m_intake != intake::Lingering && bootClockNow() >= m_context.shutdown.stopsReadingAt())
-        co_await sleepUntil(m_spaceTimer, never);
-    auto [error, count] = co_await m_socket.async_read_some(asio::buffer(m_received), useTask);
-    if (error)
-        co_return false;
+    // A stopping node must answer what it has read, so it waits without reading and does not suspend between its decision to read and
+    // the read.
+    auto count = size_t { 0 };
+    for (auto error = error_code(asio::error::would_block); error;) {
+        if (error != asio::error::would_block)
+            co_return false;
+        auto [waitError] = co_await m_socket.async_wait(tcp_socket::wait_read, useTask);
+        if (waitError)
+            co_return false;
+        co_await holdReading();
+        count = m_socket.read_some(asio::buffer(m_received), error);
+    }
     m_receivedAt = bootClockNow();
     if (m_intake == intake::Lingering) {
         m_discardedBytes += count;
@@ -106,6 +112,20 @@
     co_return true;
 }
 
+auto caller_connection::holdReading() -> task<>
+{
+    // Once the last answer is written, bytes behind it are read again: to leave them would reset the connection and could destroy it.
+    while (m_intake != intake::Lingering && bootClockNow() >= m_context.shutdown.stopsReadingAt())
+        co_await sleepUntil(m_spaceTimer, bootClockNow() + holdCheckInterval);
+}
+
+auto caller_connection::hasUnreadBytes() -> bool
+{
+    auto ignored = error_code {};
+    auto isReading = bootClockNow() < m_context.shutdown.stopsReadingAt();
+    return m_buffer.size() > 0 || m_reader || (isReading && m_socket.available(ignored) > 0);
+}
+
 auto caller_connection::hasCallerClosed() -> bool
 {
     auto polled = pollfd { m_socket.native_handle(), POLLRDHUP, 0 };
@@ -202,7 +222,7 @@
     m_isWriting = true;
     while (auto next = m_pipeline.nextToWrite()) {
         // A stopping node closes the connection when it has answered all that it has read.
-        auto isLastOfStop = m_context.shutdown.hasBegun() && m_pipeline.hasOne() && m_buffer.size() == 0 && !m_reader;
+        auto isLastOfStop = m_context.shutdown.hasBegun() && m_pipeline.hasOne() && !hasUnreadBytes();
         auto keepOpen = next->keepOpen && !isLastOfStop;
         if (!keepOpen)
             m_intake = intake::Ignored;
--- a/gypsumhub/gateway/caller_connection.h
+++ b/gypsumhub/gateway/caller_connection.h
@@ -29,6 +29,10 @@
 
     /// Receives bytes. Returns false when the connection has ended.
     auto receive() -> task<bool>;
+    /// Waits while a stopping node leaves bytes unread.
+    auto holdReading() -> task<>;
+    /// Whether bytes of further requests have arrived that are still going to be read.
+    auto hasUnreadBytes() -> bool;
     /// Waits while no more bytes can be held. Returns false when the caller has left meanwhile.
     auto waitForSpace() -> task<bool>;
     auto hasSpace() const -> bool;
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -32,8 +32,9 @@
     std::shared_ptr<target_state> target;
     time_point sentAt;
     bool isStalled { false };
+    std::shared_ptr<target_http_connection> connection {};
     /// Called once when the answer exceeds the stall threshold of the service.
-    std::function<void()> onStall;
+    std::function<void()> onStall {};
 };
 
 /// The state shared by the parts of a gateway node. Used by a single thread, since the machines have only a fraction of a core.
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -229,6 +229,11 @@
     auto now = bootClockNow();
     m_context.shutdown = shutdown_schedule(now, now + m_context.settings.stopLimit);
     m_context.log.write(log_class::Notable, "stopping", { { "open_requests", m_context.openRequests } });
+    // Waits and exchanges that began before the stop are bounded as those that begin after it.
+    for (auto& [service, dispatcher] : m_context.dispatchers)
+        dispatcher->limitWaits(m_context.shutdown.latestDeadline());
+    for (auto& attempt : m_context.attempts)
+        attempt.connection->limitDeadline(m_context.shutdown.latestDeadline());
     sendHello();
     m_watcher.unregister();
     auto finish = [this]() -> task<> {
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -90,7 +90,7 @@
     auto until = holdUntil(m_arrivedAt, m_context.startedAt, m_context.heldRequests);
     auto timer = steady_timer(m_context.io.get_executor());
     ++m_context.heldRequests;
-    while (!m_context.isInitialized() && !m_callerLeft && bootClockNow() < until)
+    while (!m_context.isInitialized() && !m_callerLeft && !m_context.shutdown.hasBegun() && bootClockNow() < until)
         co_await sleepUntil(timer, bootClockNow() + startupCheckInterval);
     --m_context.heldRequests;
 }
@@ -229,7 +229,7 @@
     ++m_sent;
     m_connection = connection;
     auto active = m_context.attempts.insert(m_context.attempts.end(),
-        { used, now, false, [this] { handleStall(); } });
+        { used, now, false, connection, [this] { handleStall(); } });
     auto result = co_await connection->exchange(request, targetDeadline());
     auto hadStalled = active->isStalled;
     m_context.attempts.erase(active);
--- a/gypsumhub/gateway/service_dispatcher.h
+++ b/gypsumhub/gateway/service_dispatcher.h
@@ -58,6 +58,8 @@
     auto release(target_state&) -> void;
     /// Ends the wait of expired requests and places waiting requests while targets are free. Called on every change and tick.
     auto dispatchWaiting() -> void;
+    /// Refuses the requests that are still waiting at this time.
+    auto limitWaits(time_point latest) -> void { m_queue.limitExpiry(latest); }
 
     auto retryBudget() -> fleet_retry_budget& { return m_retryBudget; }
     auto inFlight() const -> uint32_t { return m_inFlight; }
--- a/gypsumhub/gateway/target_http_connection.cpp
+++ b/gypsumhub/gateway/target_http_connection.cpp
@@ -65,6 +65,21 @@
     closeNow(m_socket);
 }
 
+auto target_http_connection::limitDeadline(time_point latest) -> void
+{
+    if (latest < m_deadline)
+        armDeadline(latest);
+}
+
+auto target_http_connection::armDeadline(time_point deadline) -> void
+{
+    m_deadline = deadline;
+    m_timer.arm(deadline, [this] {
+        m_hasTimedOut = true;
+        closeNow(m_socket);
+    });
+}
+
 auto target_http_connection::isUsable() -> bool
 {
     if (!isReusable() || m_buffer.size() > 0)
@@ -87,10 +102,7 @@
     auto result = exchange_result {};
     m_isReusable = false;
     m_isWriting = true;
-    m_timer.arm(deadline, [this] {
-        m_hasTimedOut = true;
-        closeNow(m_socket);
-    });
+    armDeadline(deadline);
     // The answer may arrive before the target has read a long body, so writing and reading run concurrently.
     asio::co_spawn(
         m_context.get_executor(), [self = shared_from_this(), head = request.head, body = request.body]() -> task<> { co_await self->writeAll(head, body); },
--- a/gypsumhub/gateway/target_http_connection.h
+++ b/gypsumhub/gateway/target_http_connection.h
@@ -49,6 +49,8 @@
     auto exchange(const outbound_request&, time_point deadline) -> task<exchange_result>;
     /// Aborts the current connect or exchange. The result of an exchange is `Abandoned`.
     auto abandon() -> void;
+    /// Brings forward the deadline of the exchange in progress, if it is later.
+    auto limitDeadline(time_point) -> void;
 
     /// Whether the last exchange left the connection in a state in which it can carry another one.
     auto isReusable() const -> bool { return m_isReusable && m_socket.is_open(); }
@@ -59,6 +61,7 @@
     auto lastUsedAt() const -> time_point { return m_lastUsedAt; }
 
 private:
+    auto armDeadline(time_point) -> void;
     auto writeAll(std::string head, std::shared_ptr<const std::string> body) -> task<>;
     auto readAnswer(const outbound_request&, exchange_result&) -> task<bool>;
     auto recordKeepAlive(const http::response<http::string_body>&, bool keepAlive) -> void;
@@ -68,6 +71,8 @@
     tcp_socket m_socket;
     deadline_timer m_timer;
     beast::flat_buffer m_buffer;
+    /// Of the exchange in progress.
+    time_point m_deadline { never };
     time_point m_idleUntil { never };
     time_point m_lastUsedAt {};
     bool m_isReusable { false };
--- a/unit_tests/decision/selection/placement_queue_test.cpp
+++ b/unit_tests/decision/selection/placement_queue_test.cpp
@@ -58,3 +58,17 @@
     CHECK(queue.evaluate({ 9, 0, at(0), at(150) }, capacity).isAdmitted);
     CHECK_FALSE(queue.evaluate({ 9, 4, at(0), at(150) }, capacity).isAdmitted);
 }
+
+TEST_CASE("requests that would wait beyond the end of a stopping node expire before it, in the order of their priority")
+{
+    auto queue = placement_queue {};
+    auto at = [](int64_t ms) { return time_point {} + milliseconds(ms); };
+    queue.add({ 1, 1, at(0), at(9'000) });
+    queue.add({ 2, 0, at(0), at(8'000) });
+    queue.add({ 3, 1, at(0), at(1'000) });
+    queue.limitExpiry(at(5'000));
+    CHECK(queue.first()->ticket == 2);
+    CHECK(queue.removeExpired(at(4'999)).size() == 1);
+    CHECK(queue.removeExpired(at(5'000)).size() == 2);
+    CHECK(queue.isEmpty());
+}
--- a/unit_tests/gateway/shutdown_test.cpp
+++ b/unit_tests/gateway/shutdown_test.cpp
@@ -106,3 +106,19 @@
         CHECK(isAnsweredOrUnread(answers[static_cast<size_t>(index)], *kept[static_cast<size_t>(index)]));
     }
 }
+
+TEST_CASE("a pipelined request that a stopping node can no longer serve is refused and not run")
+{
+    auto fleet = gateway_fixture(milliseconds(3'000));
+    auto caller = raw_caller(gateway_fixture::callerAddress(0));
+    caller.send(raw_request { .id = "open", .method = "POST", .path = "/unsafe/", .delayMs = 2'000 }.text());
+    REQUIRE(eventually([&] { return fleet.executionsOf("open") == 1; }));
+    fleet.nodes[0]->requestStop();
+    caller.send(raw_request { .id = "behind", .method = "POST", .path = "/unsafe/" }.text());
+    auto answers = caller.read(2);
+    REQUIRE(answers.size() == 2);
+    CHECK(answers[0].status == 200);
+    CHECK(answers[1].status == 503);
+    CHECK(answers[1].isClosing);
+    CHECK(fleet.executionsOf("behind") == 0);
+}
