Gateway: a crash report of more than 32 fingerprints is sent in parts

A node that had more than 16 requests in flight at a target that crashed reported the first ones only, so the request that caused the crash could be missing. Found by reading the diff; no test was red.

--- a/gypsumhub/gateway/crash_watcher.cpp
+++ b/gypsumhub/gateway/crash_watcher.cpp
@@ -65,8 +65,6 @@
     auto& registration = check.target->registration;
     auto report = crash_report { registration.id, registration.incarnation, registration.service, check.lostAt, check.inFlight };
     std::erase_if(report.inFlight, [&](auto& request) { return m_context.poisonRequests.isProven(request, now); });
-    if (report.inFlight.size() > maxDatagramFingerprints)
-        report.inFlight.resize(maxDatagramFingerprints);
     ++m_context.counters.targetCrashes;
     auto requests = boost::json::array {};
     for (auto& request : report.inFlight)
@@ -74,7 +72,20 @@
     m_context.log.write(log_class::Notable, "target_crashed",
         { { "target", report.target }, { "service", report.service }, { "lost", check.inFlight.size() / 2 }, { "suspects", std::move(requests) } });
     m_context.poisonRequests.recordCrash(report, now);
-    sendRepeatedly({ m_context.settings.name, std::vector<crash_report> { std::move(report) } });
+    sendReport(report);
+}
+
+auto crash_watcher::sendReport(const crash_report& report) -> void
+{
+    // Reports about one target add up, so a long one is sent in parts.
+    auto rest = std::span(report.inFlight);
+    do {
+        auto count = std::min(rest.size(), maxDatagramFingerprints);
+        auto part = report;
+        part.inFlight.assign(rest.begin(), rest.begin() + static_cast<std::ptrdiff_t>(count));
+        sendRepeatedly({ m_context.settings.name, std::vector<crash_report> { std::move(part) } });
+        rest = rest.subspan(count);
+    } while (!rest.empty());
 }
 
 auto crash_watcher::recordSuccess(const request_identity& request) -> void
--- a/gypsumhub/gateway/crash_watcher.h
+++ b/gypsumhub/gateway/crash_watcher.h
@@ -46,6 +46,7 @@
     auto connectTo(endpoint) -> task<error_code>;
     auto runCheck(std::string targetId) -> task<>;
     auto reportCrash(const pending_check&) -> void;
+    auto sendReport(const crash_report&) -> void;
     auto sendRepeatedly(node_datagram) -> void;
     auto sendToFleet(const node_datagram&) -> void;
     auto logQuarantines(std::span<const quarantined_request>) -> void;
