Gateway: nodes that saw a request succeed answer reports that name it

Change: such a node sends an exoneration, batched by the tick and at most once in 300 ms. Every signed answer below 500 is proof, not only 2xx. A target that is leaving when its connections end has not crashed. A suspect is not abandoned on a stall, as it may not be retried.

Test: the new case of poison_request_test failed on (the request reaches no target any more, fourth round) and passes.

--- a/gypsumhub/decision/selection/crash_report.h
+++ b/gypsumhub/decision/selection/crash_report.h
@@ -9,8 +9,8 @@
 
 namespace gypsumhub {
 
-/// Identifies what is asked for, however often it is sent: a hash of host, method, path, query and body, without the id of the
-/// request. A request has two: one for its content alone, and one for its content as asked for by its caller.
+/// Identifies what is asked for, however often it is sent: a hash of host, method, path, query, credentials and body, without
+/// the id of the request. A request has two: one for its content alone, and one for its content as asked for by its caller.
 struct request_fingerprint {
     uint64_t high { 0 };
     /// The lowest bit tells whether the caller is left out.
--- a/gypsumhub/gateway/crash_watcher.cpp
+++ b/gypsumhub/gateway/crash_watcher.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <utility>
 
 namespace gypsumhub {
 
@@ -16,6 +17,9 @@
     // Each message is sent once more after each interval.
     constexpr auto repeatInterval = milliseconds(400);
     constexpr auto repeatCount = 2U;
+    // Shorter than the interval of a repeated report, which is answered again since the answer to the first may be lost.
+    constexpr auto exonerationInterval = milliseconds(300);
+    constexpr auto maxRememberedExonerations = size_t { 1024 };
     constexpr auto quarantinesInterval = milliseconds(1000);
     // Bounds what a node sends when very many targets crash at once.
     constexpr auto maxRepeated = size_t { 32 };
@@ -55,7 +59,9 @@
     auto address = m_checks.at(targetId).target->registration.address;
     auto error = co_await connectTo(address);
     auto check = std::move(m_checks.extract(targetId).mapped());
-    if (error == asio::error::connection_refused)
+    // A target that was leaving has ended as planned.
+    auto wasLeaving = check.target->isClosed || check.target->registration.isDraining;
+    if (error == asio::error::connection_refused && !wasLeaving)
         reportCrash(check);
 }
 
@@ -91,13 +97,28 @@
 auto crash_watcher::recordSuccess(const request_identity& request) -> void
 {
     auto now = bootClockNow();
-    auto exonerated = exonerations {};
     for (auto& fingerprint : { request.ofCaller, request.ofAnyCaller }) {
         if (m_context.poisonRequests.recordSuccess(fingerprint, now))
-            exonerated.fingerprints.push_back(fingerprint);
+            queueExoneration(fingerprint, now);
     }
-    if (!exonerated.fingerprints.empty())
-        sendRepeatedly({ m_context.settings.name, std::move(exonerated) });
+}
+
+auto crash_watcher::queueExoneration(const request_fingerprint& request, time_point now) -> void
+{
+    auto [queued, isNew] = m_exoneratedAt.try_emplace(request, now);
+    if (!isNew && now < queued->second + exonerationInterval)
+        return;
+    queued->second = now;
+    if (m_exonerated.size() < maxDatagramFingerprints)
+        m_exonerated.push_back(request);
+    if (m_exoneratedAt.size() > maxRememberedExonerations)
+        m_exoneratedAt.clear();
+}
+
+auto crash_watcher::sendExonerations() -> void
+{
+    if (!m_exonerated.empty())
+        sendToFleet({ m_context.settings.name, exonerations { std::exchange(m_exonerated, {}) } });
 }
 
 auto crash_watcher::sendRepeatedly(node_datagram datagram) -> void
@@ -121,8 +142,14 @@
     auto now = bootClockNow();
     auto& detector = m_context.poisonRequests;
     if (auto* reports = std::get_if<std::vector<crash_report>>(&datagram.content)) {
-        for (auto& report : *reports)
+        for (auto& report : *reports) {
             detector.recordCrash(report, now);
+            // The sender and others may not have seen the success.
+            for (auto& request : report.inFlight) {
+                if (detector.isProven(request, now))
+                    queueExoneration(request, now);
+            }
+        }
     } else if (auto* exonerated = std::get_if<exonerations>(&datagram.content)) {
         for (auto& request : exonerated->fingerprints)
             detector.recordExoneration(request, now);
@@ -139,6 +166,7 @@
 
 auto crash_watcher::tick(time_point now) -> void
 {
+    sendExonerations();
     if (!m_repeated.empty() && now >= m_nextRepeatAt) {
         m_nextRepeatAt = now + repeatInterval;
         for (auto& message : m_repeated) {
--- a/gypsumhub/gateway/crash_watcher.h
+++ b/gypsumhub/gateway/crash_watcher.h
@@ -49,12 +49,18 @@
     auto sendReport(const crash_report&) -> void;
     auto sendRepeatedly(node_datagram) -> void;
     auto sendToFleet(const node_datagram&) -> void;
+    /// Sends soon that the request is harmless, unless this was sent a moment ago.
+    auto queueExoneration(const request_fingerprint&, time_point now) -> void;
+    auto sendExonerations() -> void;
     auto logQuarantines(std::span<const quarantined_request>) -> void;
 
     gateway_context& m_context;
     sender m_send;
     std::map<std::string, pending_check, std::less<>> m_checks;
     std::deque<repeated_message> m_repeated;
+    std::vector<request_fingerprint> m_exonerated;
+    /// When exonerations were queued last.
+    std::map<request_fingerprint, time_point> m_exoneratedAt;
     std::set<request_fingerprint> m_logged;
     time_point m_nextRepeatAt {};
     time_point m_nextQuarantinesAt {};
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -131,7 +131,7 @@
     m_dispatcher->retryBudget().recordRequest(m_arrivedAt);
     m_body = std::make_shared<const std::string>(m_request.body());
     for (;;) {
-        if (isQuarantined()) {
+        if (m_context.poisonRequests.quarantinedUntil(m_identity, bootClockNow())) {
             ++m_context.counters.quarantineRefusals;
             co_return m_mayHaveRun ? finalReply() : refuse("quarantined", poison_request_detector::quarantineTime);
         }
@@ -160,11 +160,6 @@
     }
 }
 
-auto request_handler::isQuarantined() -> bool
-{
-    return m_context.poisonRequests.quarantinedUntil(m_identity, bootClockNow()).has_value();
-}
-
 auto request_handler::mayRetry() -> bool
 {
     if (m_sent >= m_route->maxAttempts || m_context.poisonRequests.isSuspect(m_identity, bootClockNow()))
@@ -220,7 +215,7 @@
     auto now = bootClockNow();
     // The target may have started draining, or the caller may have disconnected, while the connection was opened.
     auto isTooLate = now + minTimeLeft >= targetDeadline() || !m_context.shutdown.accepts(now, m_deadline);
-    if (target.isClosed || target.registration.isDraining || m_callerLeft || isTooLate || isQuarantined()) {
+    if (target.isClosed || target.registration.isDraining || m_callerLeft || isTooLate || m_context.poisonRequests.quarantinedUntil(m_identity, now)) {
         m_context.connections.release(target.registration.id, connection);
         co_return attempt_end::NotSent;
     }
@@ -297,7 +292,7 @@
     }
     m_context.recordOutcome(target, outcome_kind::Success, sentAt, false);
     m_context.balancer.recordResponseTime(target, now - sentAt);
-    if (isSuccess)
+    if (m_last.answer.find(wire_names::signature) != m_last.answer.end())
         m_context.onRequestSucceeded(m_identity);
     return attempt_end::Final;
 }
@@ -306,7 +301,8 @@
 {
     // Another target can still run the request in time. The closed connection signals the cancellation to the stalled target.
     auto expectedTime = scaled(m_context.balancer.model(m_dispatcher->service()).meanResponseTime(), responseTimeMargin);
-    auto canRetry = m_route->isRetryable && m_sent < m_route->maxAttempts && bootClockNow() + expectedTime < m_deadline && !m_context.shutdown.hasBegun();
+    auto canRetry = m_route->isRetryable && m_sent < m_route->maxAttempts && bootClockNow() + expectedTime < m_deadline && !m_context.shutdown.hasBegun()
+        && !m_context.poisonRequests.isSuspect(m_identity, bootClockNow());
     if (!canRetry || !m_connection || !acquireRetry())
         return;
     m_hasRetry = true;
--- a/gypsumhub/gateway/request_handler.h
+++ b/gypsumhub/gateway/request_handler.h
@@ -54,8 +54,6 @@
     auto classifyAnswer(target_state&, exchange_result&, time_point sentAt) -> attempt_end;
     auto recordLost(const std::shared_ptr<target_state>&, const exchange_result&, time_point sentAt) -> void;
     auto handleStall() -> void;
-    /// Whether the request must not be sent since it crashes the targets that run it.
-    auto isQuarantined() -> bool;
     auto mayRetry() -> bool;
     auto acquireRetry() -> bool;
 
--- a/gypsumhub/gateway/request_identity.cpp
+++ b/gypsumhub/gateway/request_identity.cpp
@@ -33,6 +33,7 @@
     auto credentials = request[http::field::authorization];
     auto fields = std::to_array<std::string_view>({ host, { method.data(), method.size() }, { target.data(), target.size() }, { credentials.data(), credentials.size() }, request.body() });
     auto ofAnyCaller = request_fingerprint { hashFields(fields, highSeed), hashFields(fields, lowSeed) | 1 };
+    // The lowest bit of `low` tells the two apart.
     auto address = std::span(&callerAddress, 1);
     return { { hashFields(address, ofAnyCaller.high), hashFields(address, ofAnyCaller.low) & ~uint64_t { 1 } }, ofAnyCaller };
 }
--- a/unit_tests/gateway/poison_request_test.cpp
+++ b/unit_tests/gateway/poison_request_test.cpp
@@ -219,3 +219,28 @@
     CHECK(ask(2, makePoison("POST", "poison-late")).status == 503);
     CHECK(fleet.executionsOf("poison-late") == 0);
 }
+
+TEST_CASE("a request that succeeded at one node is not held back because targets crashed under it at another")
+{
+    auto fleet = gateway_fixture(stopLimit, targetCount);
+    auto restarter = target_restarter(fleet);
+    auto popular = raw_request { .method = "POST", .path = "/unsafe/popular" };
+    popular.id = "proof";
+    REQUIRE(ask(0, popular).status == 200);
+    for (auto round = 0; round < 4; ++round) {
+        auto lost = popular;
+        lost.id = "lost-" + std::to_string(round);
+        lost.delayMs = 2'000;
+        auto caller = raw_caller(gateway_fixture::callerAddress(1));
+        caller.send(lost.text());
+        auto isAt = [&](auto& target) { return target->runs(lost.id) > 0; };
+        REQUIRE(eventually([&] { return std::ranges::any_of(fleet.targets, isAt); }));
+        (*std::ranges::find_if(fleet.targets, isAt))->crash();
+        CHECK(caller.read().status == 502);
+        sleepFor(300);
+    }
+    for (auto node = 0; node < 2; ++node) {
+        popular.id = "again-" + std::to_string(node);
+        CHECK(ask(node, popular).status == 200);
+    }
+}
