--- a/fakes/fake_gateway_target.cpp
+++ b/fakes/fake_gateway_target.cpp
@@ -142,6 +142,18 @@
     return m_incarnation.id;
 }
 
+auto fake_gateway_target::setStatedLimit(std::string requestsPerSecond) -> void
+{
+    auto lock = std::lock_guard(m_mutex);
+    m_statedLimit = std::move(requestsPerSecond);
+}
+
+auto fake_gateway_target::limitLine() -> std::string
+{
+    auto lock = std::lock_guard(m_mutex);
+    return m_statedLimit.empty() ? std::string {} : "Server-Limit: " + m_statedLimit + "\r\n";
+}
+
 auto fake_gateway_target::port() const -> uint16_t
 {
     return m_reservation.local_endpoint().port();
@@ -211,7 +223,7 @@
         }
         if (behaviour == target_behaviour::Sheds) {
             recordArrival(id, false, current);
-            send("HTTP/1.1 503 X\r\nRequest-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            send("HTTP/1.1 503 X\r\nRequest-Id: " + id + "\r\n" + limitLine() + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             continue;
         }
         if (!recordArrival(id, true, current))
@@ -229,7 +241,7 @@
         }
         auto answer = makeAnswer(serviceTime > limit ? 504 : behaviour == target_behaviour::Fails ? 500
                                                                                                   : 200,
-            id, current.id);
+            id, current.id, limitLine());
         if (auto endless = endlessBytes(behaviour); !endless.first.empty()) {
             send(endless.first);
             while (!error)
--- a/fakes/fake_gateway_target.h
+++ b/fakes/fake_gateway_target.h
@@ -38,6 +38,8 @@
     auto setBehaviour(target_behaviour behaviour) -> void { m_behaviour = behaviour; }
     /// Time from receiving a request to answering it.
     auto setServiceTime(duration serviceTime) -> void { m_serviceTimeNs = serviceTime.ns; }
+    /// States a limit of this many requests per second in all answers; empty for none.
+    auto setStatedLimit(std::string requestsPerSecond) -> void;
     auto arrivals() -> std::vector<recorded_request>;
     /// Number of times that the target ran the request.
     auto runs(const std::string& requestId) -> int;
@@ -62,6 +64,8 @@
     auto serve(boost::asio::ip::tcp::socket, const incarnation&) -> void;
     /// Serves requests until the connection ends. An error or a crash ends it early.
     auto serveRequests(boost::asio::ip::tcp::socket&, const incarnation&) -> void;
+    /// The header line of the stated limit.
+    auto limitLine() -> std::string;
     /// Returns false if the target has crashed.
     auto recordArrival(const std::string& requestId, bool isRun, const incarnation&) -> bool;
     /// Returns false if the target crashes before the time is over.
@@ -81,6 +85,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::atomic<target_behaviour> m_behaviour { target_behaviour::Normal };
     std::atomic<int64_t> m_serviceTimeNs { 0 };
+    std::string m_statedLimit;
     std::vector<recorded_request> m_arrivals;
     std::vector<std::thread> m_connections;
     std::vector<int> m_sockets;
--- a/fakes/target_answer.cpp
+++ b/fakes/target_answer.cpp
@@ -2,11 +2,11 @@
 
 namespace gypsumhub {
 
-auto makeAnswer(unsigned status, std::string_view requestId, std::string_view target) -> std::string
+auto makeAnswer(unsigned status, std::string_view requestId, std::string_view target, std::string_view fields) -> std::string
 {
     auto body = std::string("from ") + std::string(target);
     return "HTTP/1.1 " + std::to_string(status) + " X\r\nRequest-Id: " + std::string(requestId) + "\r\nUpstream-Signature: " + std::string(target)
-        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        + "\r\n" + std::string(fields) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 auto endlessBytes(target_behaviour behaviour) -> std::pair<std::string, std::string>
--- /dev/null
+++ b/gypsumhub/decision/selection/known_limits.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "gypsumhub/decision/selection/target_limit.h"
+
+#include <map>
+#include <string_view>
+
+namespace gypsumhub {
+
+/// The rate limits of targets as learned from their answers and from other nodes. The latest answer counts, also when it is reported
+/// before an earlier one. Kept independently of the registrations, since a registration can be missing while the store is away.
+class known_limits {
+public:
+    /// Records what a target stated. Returns whether this is news: a limit that is new, another one, or none any more.
+    auto record(const target_limit&) -> bool;
+    /// The limit that holds for the target, or null when there is none.
+    auto find(std::string_view target, uint64_t incarnation) const -> const target_limit*;
+    /// Whether no limit was stated lately by any target.
+    auto isEmpty() const -> bool { return m_limits.empty(); }
+    /// Number of targets with a limit.
+    auto count() const -> size_t;
+    /// Drops what is only kept to recognize late reports.
+    auto prune(time_point now) -> void;
+
+    /// Bounds memory; of more targets the oldest statements are dropped.
+    static constexpr auto maxTargets = size_t { 4096 };
+
+private:
+    std::map<std::string, target_limit, std::less<>> m_limits;
+};
+
+} // namespace gypsumhub
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -5,6 +5,7 @@
 #include "gypsumhub/core/random_generator.h"
 #include "gypsumhub/decision/selection/buffer_budget.h"
 #include "gypsumhub/decision/selection/demand_meter.h"
+#include "gypsumhub/decision/selection/known_limits.h"
 #include "gypsumhub/decision/selection/load_balancer.h"
 #include "gypsumhub/decision/selection/membership_view.h"
 #include "gypsumhub/decision/selection/poison_request_detector.h"
@@ -65,6 +66,7 @@
     membership_view memberView;
     registration_view view;
     poison_request_detector poisonRequests;
+    known_limits limits;
     /// When the view was last known to match the store.
     time_point viewConfirmedAt {};
     /// Before the members that hold connections.
@@ -78,6 +80,8 @@
     std::function<void(std::vector<peer_outcome>)> broadcastOutcomes;
     /// Called when a request to a target ended without an answer since its connection ended; set by `gateway_node`.
     std::function<void(std::shared_ptr<target_state>, const request_identity&)> onRequestLost;
+    /// Called with the head of each answer of a target and whether the target signed it; set by `gateway_node`.
+    std::function<void(const target_registration&, const http::fields&, bool)> onAnswerHead;
     /// Called when a target answered a request with success; set by `gateway_node`.
     std::function<void(const request_identity&)> onRequestSucceeded;
     uint32_t openRequests { 0 };
--- a/gypsumhub/gateway/gateway_counters.cpp
+++ b/gypsumhub/gateway/gateway_counters.cpp
@@ -27,6 +27,7 @@
         { "bad_datagrams_total", "Datagrams that were malformed or from an unknown sender.", &gateway_counters::badDatagrams },
         { "target_crashes_total", "Targets that ended with requests of this node in flight.", &gateway_counters::targetCrashes },
         { "quarantine_refusals_total", "Requests refused since they crash the targets that run them.", &gateway_counters::quarantineRefusals },
+        { "malformed_limits_total", "Answers whose rate limit could not be read.", &gateway_counters::malformedLimits },
     });
 
 } // namespace
--- a/gypsumhub/gateway/gateway_counters.h
+++ b/gypsumhub/gateway/gateway_counters.h
@@ -52,6 +52,7 @@
     uint64_t badDatagrams { 0 };
     uint64_t targetCrashes { 0 };
     uint64_t quarantineRefusals { 0 };
+    uint64_t malformedLimits { 0 };
     latency_histogram queueingDelay;
     latency_histogram responseTime;
     latency_histogram totalTime;
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -36,6 +36,7 @@
         } }, [this] { sendHello(); } })
     , m_peers(m_context.io, [this](std::optional<node_datagram> datagram, std::string_view address) { handleDatagram(std::move(datagram), address); })
     , m_crashes(m_context, [this](const node_datagram& datagram, std::span<const node_registration> receivers) { m_peers.send(datagram, receivers); })
+    , m_limits(m_context)
     , m_readiness(m_context.io, [this](std::string_view target) { return answerReadiness(target); })
     , m_directory(m_context.io, [this](std::string_view target) { return answerDirectory(target); })
     , m_metrics(m_context.io, [this](std::string_view) { return http_answer { 200, "text/plain; version=0.0.4", formatGatewayMetrics(m_context, m_store.callCount()) }; })
@@ -47,6 +48,7 @@
     m_context.broadcastOutcomes = [this](std::vector<peer_outcome> outcomes) { m_peers.send({ m_context.settings.name, std::move(outcomes) }, peersInRegion()); };
     m_context.onRequestLost = [this](std::shared_ptr<target_state> target, const request_identity& lost) { m_crashes.checkTarget(std::move(target), lost); };
     m_context.onRequestSucceeded = [this](const request_identity& succeeded) { m_crashes.recordSuccess(succeeded); };
+    m_context.onAnswerHead = [this](const target_registration& target, const http::fields& head, bool isSigned) { m_limits.handleAnswer(target, head, isSigned); };
 }
 
 auto gateway_node::run() -> leaf::result<void>
--- a/gypsumhub/gateway/gateway_node.h
+++ b/gypsumhub/gateway/gateway_node.h
@@ -4,6 +4,7 @@
 #include "gypsumhub/gateway/crash_watcher.h"
 #include "gypsumhub/gateway/gateway_context.h"
 #include "gypsumhub/gateway/http_responder.h"
+#include "gypsumhub/gateway/limit_watcher.h"
 #include "gypsumhub/gateway/peer_channel.h"
 #include "gypsumhub/gateway/store_watcher.h"
 #include "gypsumhub/platform/kv_client.h"
@@ -45,6 +46,7 @@
     store_watcher m_watcher;
     peer_channel m_peers;
     crash_watcher m_crashes;
+    limit_watcher m_limits;
     http_responder m_readiness;
     http_responder m_directory;
     http_responder m_metrics;
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -268,6 +268,9 @@
         target.isClosed = true;
         m_context.connections.removeTarget(target.registration.id);
     }
+    // A 421 comes from another target at the same address.
+    if (status != 421)
+        m_context.onAnswerHead(target.registration, answer.base(), answer.find(wire_names::signature) != answer.end());
     if (status == 421 || answer.find(wire_names::notExecuted) != answer.end()) {
         ++m_context.counters.declinedByTarget;
         m_reason = "target_declined";
--- a/gypsumhub/platform/wire_names.h
+++ b/gypsumhub/platform/wire_names.h
@@ -16,6 +16,8 @@
     constexpr auto expectedTarget = std::string_view { "Target-Instance" };
     /// On an answer: the target did not run the request.
     constexpr auto notExecuted = std::string_view { "Not-Executed" };
+    /// On an answer: the requests per second that the target accepts from all nodes together, until an answer comes without the field.
+    constexpr auto rateLimit = std::string_view { "Server-Limit" };
 
     constexpr auto readinessPath = std::string_view { "/gypsumhub/readyz" };
     constexpr auto directoryPath = std::string_view { "/gypsumhub/resolve" };
