--- a/gypsumhub/decision/selection/known_limits.cpp
+++ b/gypsumhub/decision/selection/known_limits.cpp
@@ -27,9 +27,9 @@
     auto& known = found->second;
     if (stated.statedAt <= known.statedAt)
         return false;
-    auto isNews = stated.incarnation != known.incarnation || stated.requestsPerSecond != known.requestsPerSecond;
+    auto isChanged = stated.incarnation != known.incarnation || stated.requestsPerSecond != known.requestsPerSecond;
     known = stated;
-    return isNews;
+    return isChanged;
 }
 
 auto known_limits::find(std::string_view target, uint64_t incarnation) const -> const target_limit*
@@ -39,6 +39,12 @@
     return holds ? &found->second : nullptr;
 }
 
+auto known_limits::latest(std::string_view target) const -> const target_limit*
+{
+    auto found = m_limits.find(target);
+    return found == m_limits.end() ? nullptr : &found->second;
+}
+
 auto known_limits::count() const -> size_t
 {
     return static_cast<size_t>(std::ranges::count_if(m_limits, [](auto& entry) { return entry.second.requestsPerSecond.has_value(); }));
--- a/gypsumhub/decision/selection/known_limits.h
+++ b/gypsumhub/decision/selection/known_limits.h
@@ -11,10 +11,12 @@
 /// before an earlier one. Kept independently of the registrations, since a registration can be missing while the store is away.
 class known_limits {
 public:
-    /// Records what a target stated. Returns whether this is news: a limit that is new, another one, or none any more.
+    /// Records what a target stated. Returns whether it has changed: a limit that is new, another one, or none any more.
     auto record(const target_limit&) -> bool;
     /// The limit that holds for the target, or null when there is none.
     auto find(std::string_view target, uint64_t incarnation) const -> const target_limit*;
+    /// What the target stated last, also that it has no limit any more. Null when it never stated one.
+    auto latest(std::string_view target) const -> const target_limit*;
     /// Whether no limit was stated lately by any target.
     auto isEmpty() const -> bool { return m_limits.empty(); }
     /// Number of targets with a limit.
--- a/gypsumhub/decision/selection/load_balancer.cpp
+++ b/gypsumhub/decision/selection/load_balancer.cpp
@@ -53,6 +53,7 @@
     , m_regionOf(std::move(regionOf))
     , m_settings(settings)
     , m_random(seed)
+    , m_permits(seed)
 {
 }
 
@@ -138,6 +139,20 @@
     return static_cast<double>(serving) < minServingShare * usable;
 }
 
+auto load_balancer::addOutlook(selection& chosen, const target_limit* limit, bool isFull, time_point now) const -> void
+{
+    if (limit && chosen.usable == 1)
+        chosen.outlook = permit_outlook { duration { std::numeric_limits<int64_t>::max() } };
+    if (!limit)
+        chosen.outlook.reset();
+    if (!chosen.outlook)
+        return;
+    auto wait = std::max(m_permits.deniedUntil(limit->target) - now, duration {});
+    chosen.outlook->untilNext = std::min(chosen.outlook->untilNext, wait);
+    chosen.outlook->permitsPerSecond += m_permits.expectedRate(*limit, now);
+    chosen.outlook->hasFullTarget |= isFull;
+}
+
 auto load_balancer::choose(const selection_request& request, time_point now) -> selection
 {
     constexpr auto none = std::numeric_limits<double>::infinity();
@@ -145,13 +160,15 @@
     auto chosen = selection {};
     auto isFailing = service.outcomes > minOutcomes && service.failures > failingServiceShare * service.outcomes;
     auto isSpreading = isFailing || hasLowServingShare(service, now);
-    auto minFreeLoss = none, minBusyLoss = none;
+    auto minFreeLoss = none, minBusyLoss = none, minLossWithPermit = none;
     for (auto& target : service.targets) {
         if (target->registration.isDraining || target->isClosed || std::ranges::count(request.tried, target->registration.id) > 0)
             continue;
         ++chosen.usable;
         auto bad = target->health.probabilityBad(now, service.model.rates());
         auto loss = expectedLoss(*target, bad, request.isRetryable, now);
+        auto* limit = m_limits.find(target->registration.id, target->registration.incarnation);
+        addOutlook(chosen, limit, isFull(*target, now), now);
         if (isFull(*target, now)) {
             minBusyLoss = std::min(minBusyLoss, loss);
             continue;
@@ -161,21 +178,35 @@
             loss = trialLoss;
         else if (target->registration.dataCentre == m_dataCentre && hasIdleBonus(*target, bad, isSpreading, now))
             loss -= m_settings.explorationBonus;
+        if (limit && !m_permits.has(limit->target, now)) {
+            auto canAsk = now >= m_permits.deniedUntil(limit->target);
+            if (canAsk && loss < minLossWithPermit) {
+                minLossWithPermit = loss;
+                chosen.needsPermit = target;
+            }
+            continue;
+        }
         if (loss < minFreeLoss) {
             minFreeLoss = loss;
             chosen.target = target;
             chosen.probabilityBad = bad;
         }
     }
+    if (minLossWithPermit >= minFreeLoss)
+        chosen.needsPermit.reset();
+    // The answer to a permit request takes one round trip.
+    minBusyLoss = std::min(minBusyLoss, minLossWithPermit);
     chosen.shouldWait = !chosen.target || minFreeLoss > minBusyLoss + m_settings.waitMargin;
     return chosen;
 }
 
-auto load_balancer::recordSent(target_state& target, time_point now) -> void
+auto load_balancer::recordSent(target_state& target, time_point now) -> time_point
 {
+    auto& registration = target.registration;
     ++target.inFlight;
     target.lastChosenAt = now;
     target.trialDueAt = never;
+    return m_limits.find(registration.id, registration.incarnation) ? m_permits.consume(registration.id, now) : never;
 }
 
 auto load_balancer::recordCompleted(target_state& target) -> void
--- a/gypsumhub/decision/selection/load_balancer.h
+++ b/gypsumhub/decision/selection/load_balancer.h
@@ -2,6 +2,9 @@
 
 #include "gypsumhub/config/selection_settings.h"
 #include "gypsumhub/core/random_generator.h"
+#include "gypsumhub/decision/selection/held_permits.h"
+#include "gypsumhub/decision/selection/known_limits.h"
+#include "gypsumhub/decision/selection/permit_outlook.h"
 #include "gypsumhub/decision/selection/service_model.h"
 #include "gypsumhub/decision/selection/target_state.h"
 
@@ -33,6 +36,10 @@
     bool shouldWait { false };
     /// Targets of the service that accept requests, free or busy.
     uint32_t usable { 0 };
+    /// The target that would be chosen if this node held a permit for it, or null. Permits are requested for targets with a limit.
+    std::shared_ptr<target_state> needsPermit {};
+    /// What the limits of the targets allow, if all usable ones state a limit.
+    std::optional<permit_outlook> outlook {};
 };
 
 /// The probability that a target is in the bad state, before and after an outcome.
@@ -60,7 +67,8 @@
     auto choose(const selection_request&, time_point now) -> selection;
 
     /// Takes a slot of the target for a request that is sent to it.
-    auto recordSent(target_state&, time_point now) -> void;
+    /// Uses up a permit if the target states a limit. Returns until when the request must be sent.
+    auto recordSent(target_state&, time_point now) -> time_point;
     /// Frees the slot after the answer was received or is no longer expected.
     auto recordCompleted(target_state&) -> void;
     /// Updates the health of the target with an outcome seen by this node or received from a peer.
@@ -73,6 +81,10 @@
     auto recordFull(target_state&, time_point now) -> void;
 
     auto model(std::string_view service) -> service_model&;
+    /// The rate limits of the targets, and the permits of this node to send requests to them.
+    auto limits() -> known_limits& { return m_limits; }
+    auto limits() const -> const known_limits& { return m_limits; }
+    auto permits() -> held_permits& { return m_permits; }
     auto targets() const -> const std::map<std::string, std::shared_ptr<target_state>, std::less<>>& { return m_targets; }
 
 private:
@@ -90,6 +102,8 @@
     auto expectedLoss(const target_state&, double bad, bool isRetryable, time_point now) const -> double;
     /// Whether too small a share of the targets of this data centre has served recently.
     auto hasLowServingShare(const service_targets&, time_point now) const -> bool;
+    /// Adds what the limit of a usable target allows. Called for all of them in turn, also with no limit.
+    auto addOutlook(selection&, const target_limit*, bool isFull, time_point now) const -> void;
     /// Zero in the own data centre, otherwise `otherDataCentreLoss` or `otherRegionLoss` of the settings.
     auto distanceLoss(const target_state&) const -> double;
 
@@ -98,6 +112,8 @@
     region_lookup m_regionOf;
     selection_settings m_settings;
     random_generator m_random;
+    known_limits m_limits;
+    held_permits m_permits;
     std::map<std::string, std::shared_ptr<target_state>, std::less<>> m_targets;
     std::map<std::string, service_targets, std::less<>> m_services;
 };
--- a/gypsumhub/decision/selection/membership_view.cpp
+++ b/gypsumhub/decision/selection/membership_view.cpp
@@ -300,6 +300,29 @@
     return nodes;
 }
 
+auto membership_view::permitIssuers(std::string_view target, std::string_view dataCentre, time_point now) const -> std::vector<std::string>
+{
+    auto candidates = std::vector<std::pair<uint64_t, std::string_view>> {};
+    auto collect = [&](auto&& accept) {
+        auto add = [&](const node_registration& node) { candidates.emplace_back(mixHashes(hashName(target), hashName(node.name)), node.name); };
+        if (m_isReady && !m_isLeaving && accept(m_own))
+            add(m_own);
+        for (auto& [name, other] : m_nodes) {
+            if (accept(other.registration) && isAvailable(other, now))
+                add(other.registration);
+        }
+    };
+    collect([&](const node_registration& node) { return node.dataCentre == dataCentre; });
+    if (candidates.empty())
+        collect([](const node_registration&) { return true; });
+    auto count = std::min(candidates.size(), maxPermitIssuers);
+    std::ranges::partial_sort(candidates, candidates.begin() + static_cast<std::ptrdiff_t>(count));
+    auto names = std::vector<std::string> {};
+    for (auto& [rank, name] : std::span(candidates).first(count))
+        names.emplace_back(name);
+    return names;
+}
+
 auto membership_view::localPeers() const -> std::vector<node_registration>
 {
     auto nodes = peers();
--- a/gypsumhub/decision/selection/membership_view.h
+++ b/gypsumhub/decision/selection/membership_view.h
@@ -52,6 +52,8 @@
 /// nodes that serve a host and the designated reader, which reads the target registrations for its data centre.
 class membership_view {
 public:
+    static constexpr auto maxPermitIssuers = size_t { 3 };
+
     explicit membership_view(node_registration own);
 
     auto recordRegistration(const node_registration&) -> void;
@@ -82,6 +84,9 @@
     /// The nodes that receive what concerns the whole fleet: those of the own data centre, and of each other one a few that pass it
     /// on to theirs. These differ with `salt`, so that a message that is sent again reaches others.
     auto fleetRecipients(uint64_t salt) const -> std::vector<node_registration>;
+    /// Names of the nodes that can issue the permits of a target, in this order (rendezvous hashing): nodes of its data centre, or of all
+    /// when that one has none. The first one issues them. At most `maxPermitIssuers`.
+    auto permitIssuers(std::string_view target, std::string_view dataCentre, time_point now) const -> std::vector<std::string>;
     auto localPeers() const -> std::vector<node_registration>;
     /// The nodes from which this one requests listings at startup, in this order; empty for the first node of a data centre.
     /// The nodes form a tree, so that a data centre that starts all at once overloads neither the store nor a single node.
--- a/gypsumhub/decision/selection/placement_queue.cpp
+++ b/gypsumhub/decision/selection/placement_queue.cpp
@@ -10,6 +10,17 @@
     // Bounds memory. In a longer queue the last request would wait for minutes anyway.
     constexpr auto maxWaitingRequests = size_t { 512 };
 
+    // Which node receives the next permit varies. A request that waits for one is admitted only if it would still be placed in time after
+    // this many times the predicted wait, instead of being refused late.
+    constexpr auto permitWaitMargin = 2;
+    // Avoids a division by zero.
+    constexpr auto minPermitsPerSecond = 1e-3;
+
+    auto toDuration(double seconds) -> duration
+    {
+        return { static_cast<int64_t>(seconds * 1e9) };
+    }
+
     auto rank(const waiting_request& request)
     {
         return std::tuple(request.priority, request.expiresAt, request.ticket);
@@ -30,7 +41,14 @@
     auto ahead = std::ranges::lower_bound(m_waiting, arrival, precedes) - m_waiting.begin();
     // Little's law: the targets complete one request of this node every `meanResponseTime / inFlight`.
     estimate.predictedWait = capacity.meanResponseTime * (ahead + 1) / std::max<int64_t>(capacity.inFlight, 1);
-    estimate.isAdmitted = m_waiting.size() < maxWaitingRequests && arrival.arrivedAt + estimate.predictedWait <= arrival.expiresAt;
+    if (capacity.outlook) {
+        auto& outlook = *capacity.outlook;
+        auto waitForPermits = outlook.untilNext + toDuration(static_cast<double>(ahead) / std::max(outlook.permitsPerSecond, minPermitsPerSecond));
+        // While slots are free, only the limits bound the rate.
+        estimate.predictedWait = outlook.hasFullTarget ? std::max(estimate.predictedWait, waitForPermits) : waitForPermits;
+    }
+    auto longestWait = capacity.outlook ? estimate.predictedWait * permitWaitMargin : estimate.predictedWait;
+    estimate.isAdmitted = m_waiting.size() < maxWaitingRequests && arrival.arrivedAt + longestWait <= arrival.expiresAt;
     return estimate;
 }
 
--- a/gypsumhub/decision/selection/placement_queue.h
+++ b/gypsumhub/decision/selection/placement_queue.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gypsumhub/core/time_point.h"
+#include "gypsumhub/decision/selection/permit_outlook.h"
 
 #include <cstdint>
 #include <optional>
@@ -26,6 +26,8 @@
     /// Targets that accept requests, free or busy.
     uint32_t usable { 0 };
     duration meanResponseTime;
+    /// If all usable targets state a limit.
+    std::optional<permit_outlook> outlook {};
 };
 
 /// The admission decision for an arriving request, with the queueing delay that it can expect.
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -5,7 +5,6 @@
 #include "gypsumhub/core/random_generator.h"
 #include "gypsumhub/decision/selection/buffer_budget.h"
 #include "gypsumhub/decision/selection/demand_meter.h"
-#include "gypsumhub/decision/selection/known_limits.h"
 #include "gypsumhub/decision/selection/load_balancer.h"
 #include "gypsumhub/decision/selection/membership_view.h"
 #include "gypsumhub/decision/selection/poison_request_detector.h"
@@ -66,7 +65,6 @@
     membership_view memberView;
     registration_view view;
     poison_request_detector poisonRequests;
-    known_limits limits;
     /// When the view was last known to match the store.
     time_point viewConfirmedAt {};
     /// Before the members that hold connections.
@@ -84,6 +82,8 @@
     std::function<void(const target_registration&, const http::fields&, bool)> onAnswerHead;
     /// Called when a target answered a request with success; set by `gateway_node`.
     std::function<void(const request_identity&)> onRequestSucceeded;
+    /// Called when a request would be placed at a target for which this node needs a permit; set by `gateway_node`.
+    std::function<void()> onPermitsNeeded;
     uint32_t openRequests { 0 };
     time_point startedAt;
     /// Requests held until the node is initialized.
--- a/gypsumhub/gateway/gateway_counters.h
+++ b/gypsumhub/gateway/gateway_counters.h
@@ -53,6 +53,9 @@
     uint64_t targetCrashes { 0 };
     uint64_t quarantineRefusals { 0 };
     uint64_t malformedLimits { 0 };
+    uint64_t permitRequests { 0 };
+    uint64_t permitsGranted { 0 };
+    uint64_t permitsDenied { 0 };
     latency_histogram queueingDelay;
     latency_histogram responseTime;
     latency_histogram totalTime;
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -36,7 +36,7 @@
         } }, [this] { sendHello(); } })
     , m_peers(m_context.io, [this](std::optional<node_datagram> datagram, std::string_view address) { handleDatagram(std::move(datagram), address); })
     , m_crashes(m_context, [this](const node_datagram& datagram, std::span<const node_registration> receivers) { m_peers.send(datagram, receivers); })
-    , m_limits(m_context)
+    , m_limits(m_context, [this](const node_datagram& datagram, std::span<const node_registration> receivers) { m_peers.send(datagram, receivers); })
     , m_readiness(m_context.io, [this](std::string_view target) { return answerReadiness(target); })
     , m_directory(m_context.io, [this](std::string_view target) { return answerDirectory(target); })
     , m_metrics(m_context.io, [this](std::string_view) { return http_answer { 200, "text/plain; version=0.0.4", formatGatewayMetrics(m_context, m_store.callCount()) }; })
@@ -49,6 +49,7 @@
     m_context.onRequestLost = [this](std::shared_ptr<target_state> target, const request_identity& lost) { m_crashes.checkTarget(std::move(target), lost); };
     m_context.onRequestSucceeded = [this](const request_identity& succeeded) { m_crashes.recordSuccess(succeeded); };
     m_context.onAnswerHead = [this](const target_registration& target, const http::fields& head, bool isSigned) { m_limits.handleAnswer(target, head, isSigned); };
+    m_context.onPermitsNeeded = [this] { m_limits.requestPermits(); };
 }
 
 auto gateway_node::run() -> leaf::result<void>
@@ -102,6 +103,7 @@
             dispatcher->dispatchWaiting();
         m_watcher.tick();
         m_crashes.tick(now);
+        m_limits.tick(now);
         if (now >= m_nextHello)
             sendHello();
         if (now >= m_nextSweep) {
@@ -182,6 +184,8 @@
             m_context.recordPeerOutcome(outcome, datagram->sender);
     } else if (auto* changes = std::get_if<std::vector<view_change>>(&datagram->content))
         m_watcher.handleChanges(*changes);
+    else if (limit_watcher::handles(*datagram))
+        m_limits.handleDatagram(*datagram);
     else
         m_crashes.handleDatagram(*datagram);
 }
--- a/gypsumhub/gateway/node_datagram.capnp
+++ b/gypsumhub/gateway/node_datagram.capnp
@@ -14,6 +14,9 @@
     crashes @4 :List(TargetCrash);
     exonerations @5 :List(RequestFingerprint);
     quarantines @6 :List(RequestQuarantine);
+    limits @7 :List(TargetLimit);
+    permitRequest @8 :PermitRequest;
+    permitGrant @9 :PermitGrant;
   }
 }
 
@@ -77,3 +80,31 @@
   # Rounded down.
   remainingSeconds @1 :UInt32;
 }
+
+# The rate limit that a target stated in an answer.
+struct TargetLimit {
+  target @0 :Text;
+  incarnation @1 :UInt64;
+  # The target answered without a limit; the rate is then 0.
+  hasEnded @2 :Bool;
+  requestsPerSecond @3 :Float64;
+  # How long before this datagram the answer arrived.
+  statedBeforeMs @4 :UInt32;
+}
+
+struct PermitRequest {
+  limit @0 :TargetLimit;
+  # Name of the node that receives the grant.
+  asker @1 :Text;
+  ticket @2 :UInt64;
+  count @3 :UInt32;
+  isForwarded @4 :Bool;
+}
+
+struct PermitGrant {
+  limit @0 :TargetLimit;
+  ticket @1 :UInt64;
+  count @2 :UInt32;
+  # Only if fewer permits were granted than requested.
+  retryAfterMs @3 :UInt32;
+}
--- a/gypsumhub/gateway/node_datagram.capnp.h
+++ b/gypsumhub/gateway/node_datagram.capnp.h
@@ -24,6 +24,9 @@
 CAPNP_DECLARE_SCHEMA(c734e4b82ff76e70);
 CAPNP_DECLARE_SCHEMA(8b46d8fbc1154af8);
 CAPNP_DECLARE_SCHEMA(8d165adab1575841);
+CAPNP_DECLARE_SCHEMA(afbe6f1ea23a68a3);
+CAPNP_DECLARE_SCHEMA(9f9d78aab867a0b1);
+CAPNP_DECLARE_SCHEMA(86c74937658e1c0f);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -44,6 +47,9 @@
     CRASHES,
     EXONERATIONS,
     QUARANTINES,
+    LIMITS,
+    PERMIT_REQUEST,
+    PERMIT_GRANT,
   };
 
   struct _capnpPrivate {
@@ -159,6 +165,51 @@
   };
 };
 
+struct TargetLimit {
+  TargetLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(afbe6f1ea23a68a3, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitRequest {
+  PermitRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9f9d78aab867a0b1, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitGrant {
+  PermitGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(86c74937658e1c0f, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class NodeDatagram::Reader {
@@ -206,6 +257,18 @@
   inline bool hasQuarantines() const;
   inline  ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>::Reader getQuarantines() const;
 
+  inline bool isLimits() const;
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
+  inline bool isPermitRequest() const;
+  inline bool hasPermitRequest() const;
+  inline  ::gypsumhub::wire::PermitRequest::Reader getPermitRequest() const;
+
+  inline bool isPermitGrant() const;
+  inline bool hasPermitGrant() const;
+  inline  ::gypsumhub::wire::PermitGrant::Reader getPermitGrant() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -290,6 +353,30 @@
   inline void adoptQuarantines(::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>> disownQuarantines();
 
+  inline bool isLimits();
+  inline bool hasLimits();
+  inline  ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>> disownLimits();
+
+  inline bool isPermitRequest();
+  inline bool hasPermitRequest();
+  inline  ::gypsumhub::wire::PermitRequest::Builder getPermitRequest();
+  inline void setPermitRequest( ::gypsumhub::wire::PermitRequest::Reader value);
+  inline  ::gypsumhub::wire::PermitRequest::Builder initPermitRequest();
+  inline void adoptPermitRequest(::capnp::Orphan< ::gypsumhub::wire::PermitRequest>&& value);
+  inline ::capnp::Orphan< ::gypsumhub::wire::PermitRequest> disownPermitRequest();
+
+  inline bool isPermitGrant();
+  inline bool hasPermitGrant();
+  inline  ::gypsumhub::wire::PermitGrant::Builder getPermitGrant();
+  inline void setPermitGrant( ::gypsumhub::wire::PermitGrant::Reader value);
+  inline  ::gypsumhub::wire::PermitGrant::Builder initPermitGrant();
+  inline void adoptPermitGrant(::capnp::Orphan< ::gypsumhub::wire::PermitGrant>&& value);
+  inline ::capnp::Orphan< ::gypsumhub::wire::PermitGrant> disownPermitGrant();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1039,214 +1126,519 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class TargetLimit::Reader {
+public:
+  typedef TargetLimit Reads;
 
-inline  ::gypsumhub::wire::NodeDatagram::Which NodeDatagram::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline  ::gypsumhub::wire::NodeDatagram::Which NodeDatagram::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline bool NodeDatagram::Reader::hasSender() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeDatagram::Builder::hasSender() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader NodeDatagram::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder NodeDatagram::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void NodeDatagram::Builder::setSender( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder NodeDatagram::Builder::initSender(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void NodeDatagram::Builder::adoptSender(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> NodeDatagram::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool NodeDatagram::Reader::isHello() const {
-  return which() == NodeDatagram::HELLO;
-}
-inline bool NodeDatagram::Builder::isHello() {
-  return which() == NodeDatagram::HELLO;
-}
-inline bool NodeDatagram::Reader::hasHello() const {
-  if (which() != NodeDatagram::HELLO) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeDatagram::Builder::hasHello() {
-  if (which() != NodeDatagram::HELLO) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::gypsumhub::wire::NodeHello::Reader NodeDatagram::Reader::getHello() const {
-  KJ_IREQUIRE((which() == NodeDatagram::HELLO),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::gypsumhub::wire::NodeHello::Builder NodeDatagram::Builder::getHello() {
-  KJ_IREQUIRE((which() == NodeDatagram::HELLO),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void NodeDatagram::Builder::setHello( ::gypsumhub::wire::NodeHello::Reader value) {
-  _builder.setDataField<NodeDatagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::HELLO);
-  ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::gypsumhub::wire::NodeHello::Builder NodeDatagram::Builder::initHello() {
-  _builder.setDataField<NodeDatagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::HELLO);
-  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void NodeDatagram::Builder::adoptHello(
-    ::capnp::Orphan< ::gypsumhub::wire::NodeHello>&& value) {
-  _builder.setDataField<NodeDatagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::HELLO);
-  ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::gypsumhub::wire::NodeHello> NodeDatagram::Builder::disownHello() {
-  KJ_IREQUIRE((which() == NodeDatagram::HELLO),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline bool NodeDatagram::Reader::isOutcomes() const {
-  return which() == NodeDatagram::OUTCOMES;
-}
-inline bool NodeDatagram::Builder::isOutcomes() {
-  return which() == NodeDatagram::OUTCOMES;
-}
-inline bool NodeDatagram::Reader::hasOutcomes() const {
-  if (which() != NodeDatagram::OUTCOMES) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeDatagram::Builder::hasOutcomes() {
-  if (which() != NodeDatagram::OUTCOMES) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>::Reader NodeDatagram::Reader::getOutcomes() const {
-  KJ_IREQUIRE((which() == NodeDatagram::OUTCOMES),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::getOutcomes() {
-  KJ_IREQUIRE((which() == NodeDatagram::OUTCOMES),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void NodeDatagram::Builder::setOutcomes( ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>::Reader value) {
-  _builder.setDataField<NodeDatagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::OUTCOMES);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::initOutcomes(unsigned int size) {
-  _builder.setDataField<NodeDatagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::OUTCOMES);
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void NodeDatagram::Builder::adoptOutcomes(
-    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>&& value) {
-  _builder.setDataField<NodeDatagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::OUTCOMES);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>> NodeDatagram::Builder::disownOutcomes() {
-  KJ_IREQUIRE((which() == NodeDatagram::OUTCOMES),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
 
-inline bool NodeDatagram::Reader::isRegistrations() const {
-  return which() == NodeDatagram::REGISTRATIONS;
-}
-inline bool NodeDatagram::Builder::isRegistrations() {
-  return which() == NodeDatagram::REGISTRATIONS;
-}
-inline bool NodeDatagram::Reader::hasRegistrations() const {
-  if (which() != NodeDatagram::REGISTRATIONS) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool NodeDatagram::Builder::hasRegistrations() {
-  if (which() != NodeDatagram::REGISTRATIONS) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>::Reader NodeDatagram::Reader::getRegistrations() const {
-  KJ_IREQUIRE((which() == NodeDatagram::REGISTRATIONS),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::getRegistrations() {
-  KJ_IREQUIRE((which() == NodeDatagram::REGISTRATIONS),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void NodeDatagram::Builder::setRegistrations( ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>::Reader value) {
-  _builder.setDataField<NodeDatagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::REGISTRATIONS);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::initRegistrations(unsigned int size) {
-  _builder.setDataField<NodeDatagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::REGISTRATIONS);
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void NodeDatagram::Builder::adoptRegistrations(
-    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>&& value) {
-  _builder.setDataField<NodeDatagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::REGISTRATIONS);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>> NodeDatagram::Builder::disownRegistrations() {
-  KJ_IREQUIRE((which() == NodeDatagram::REGISTRATIONS),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+  inline  ::uint64_t getIncarnation() const;
 
-inline bool NodeDatagram::Reader::isCrashes() const {
+  inline bool getHasEnded() const;
+
+  inline double getRequestsPerSecond() const;
+
+  inline  ::uint32_t getStatedBeforeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TargetLimit::Builder {
+public:
+  typedef TargetLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool getHasEnded();
+  inline void setHasEnded(bool value);
+
+  inline double getRequestsPerSecond();
+  inline void setRequestsPerSecond(double value);
+
+  inline  ::uint32_t getStatedBeforeMs();
+  inline void setStatedBeforeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TargetLimit::Pipeline {
+public:
+  typedef TargetLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PermitRequest::Reader {
+public:
+  typedef PermitRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasLimit() const;
+  inline  ::gypsumhub::wire::TargetLimit::Reader getLimit() const;
+
+  inline bool hasAsker() const;
+  inline  ::capnp::Text::Reader getAsker() const;
+
+  inline  ::uint64_t getTicket() const;
+
+  inline  ::uint32_t getCount() const;
+
+  inline bool getIsForwarded() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitRequest::Builder {
+public:
+  typedef PermitRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasLimit();
+  inline  ::gypsumhub::wire::TargetLimit::Builder getLimit();
+  inline void setLimit( ::gypsumhub::wire::TargetLimit::Reader value);
+  inline  ::gypsumhub::wire::TargetLimit::Builder initLimit();
+  inline void adoptLimit(::capnp::Orphan< ::gypsumhub::wire::TargetLimit>&& value);
+  inline ::capnp::Orphan< ::gypsumhub::wire::TargetLimit> disownLimit();
+
+  inline bool hasAsker();
+  inline  ::capnp::Text::Builder getAsker();
+  inline void setAsker( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAsker(unsigned int size);
+  inline void adoptAsker(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAsker();
+
+  inline  ::uint64_t getTicket();
+  inline void setTicket( ::uint64_t value);
+
+  inline  ::uint32_t getCount();
+  inline void setCount( ::uint32_t value);
+
+  inline bool getIsForwarded();
+  inline void setIsForwarded(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitRequest::Pipeline {
+public:
+  typedef PermitRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::gypsumhub::wire::TargetLimit::Pipeline getLimit();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PermitGrant::Reader {
+public:
+  typedef PermitGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasLimit() const;
+  inline  ::gypsumhub::wire::TargetLimit::Reader getLimit() const;
+
+  inline  ::uint64_t getTicket() const;
+
+  inline  ::uint32_t getCount() const;
+
+  inline  ::uint32_t getRetryAfterMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitGrant::Builder {
+public:
+  typedef PermitGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasLimit();
+  inline  ::gypsumhub::wire::TargetLimit::Builder getLimit();
+  inline void setLimit( ::gypsumhub::wire::TargetLimit::Reader value);
+  inline  ::gypsumhub::wire::TargetLimit::Builder initLimit();
+  inline void adoptLimit(::capnp::Orphan< ::gypsumhub::wire::TargetLimit>&& value);
+  inline ::capnp::Orphan< ::gypsumhub::wire::TargetLimit> disownLimit();
+
+  inline  ::uint64_t getTicket();
+  inline void setTicket( ::uint64_t value);
+
+  inline  ::uint32_t getCount();
+  inline void setCount( ::uint32_t value);
+
+  inline  ::uint32_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitGrant::Pipeline {
+public:
+  typedef PermitGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::gypsumhub::wire::TargetLimit::Pipeline getLimit();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::gypsumhub::wire::NodeDatagram::Which NodeDatagram::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::gypsumhub::wire::NodeDatagram::Which NodeDatagram::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeDatagram::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDatagram::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeDatagram::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeDatagram::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NodeDatagram::Builder::setSender( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeDatagram::Builder::initSender(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NodeDatagram::Builder::adoptSender(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeDatagram::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDatagram::Reader::isHello() const {
+  return which() == NodeDatagram::HELLO;
+}
+inline bool NodeDatagram::Builder::isHello() {
+  return which() == NodeDatagram::HELLO;
+}
+inline bool NodeDatagram::Reader::hasHello() const {
+  if (which() != NodeDatagram::HELLO) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDatagram::Builder::hasHello() {
+  if (which() != NodeDatagram::HELLO) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::gypsumhub::wire::NodeHello::Reader NodeDatagram::Reader::getHello() const {
+  KJ_IREQUIRE((which() == NodeDatagram::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::gypsumhub::wire::NodeHello::Builder NodeDatagram::Builder::getHello() {
+  KJ_IREQUIRE((which() == NodeDatagram::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeDatagram::Builder::setHello( ::gypsumhub::wire::NodeHello::Reader value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::HELLO);
+  ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::gypsumhub::wire::NodeHello::Builder NodeDatagram::Builder::initHello() {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::HELLO);
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeDatagram::Builder::adoptHello(
+    ::capnp::Orphan< ::gypsumhub::wire::NodeHello>&& value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::HELLO);
+  ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::gypsumhub::wire::NodeHello> NodeDatagram::Builder::disownHello() {
+  KJ_IREQUIRE((which() == NodeDatagram::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::NodeHello>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDatagram::Reader::isOutcomes() const {
+  return which() == NodeDatagram::OUTCOMES;
+}
+inline bool NodeDatagram::Builder::isOutcomes() {
+  return which() == NodeDatagram::OUTCOMES;
+}
+inline bool NodeDatagram::Reader::hasOutcomes() const {
+  if (which() != NodeDatagram::OUTCOMES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDatagram::Builder::hasOutcomes() {
+  if (which() != NodeDatagram::OUTCOMES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>::Reader NodeDatagram::Reader::getOutcomes() const {
+  KJ_IREQUIRE((which() == NodeDatagram::OUTCOMES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::getOutcomes() {
+  KJ_IREQUIRE((which() == NodeDatagram::OUTCOMES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeDatagram::Builder::setOutcomes( ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::OUTCOMES);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::initOutcomes(unsigned int size) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::OUTCOMES);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeDatagram::Builder::adoptOutcomes(
+    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::OUTCOMES);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>> NodeDatagram::Builder::disownOutcomes() {
+  KJ_IREQUIRE((which() == NodeDatagram::OUTCOMES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetOutcome,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDatagram::Reader::isRegistrations() const {
+  return which() == NodeDatagram::REGISTRATIONS;
+}
+inline bool NodeDatagram::Builder::isRegistrations() {
+  return which() == NodeDatagram::REGISTRATIONS;
+}
+inline bool NodeDatagram::Reader::hasRegistrations() const {
+  if (which() != NodeDatagram::REGISTRATIONS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDatagram::Builder::hasRegistrations() {
+  if (which() != NodeDatagram::REGISTRATIONS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>::Reader NodeDatagram::Reader::getRegistrations() const {
+  KJ_IREQUIRE((which() == NodeDatagram::REGISTRATIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::getRegistrations() {
+  KJ_IREQUIRE((which() == NodeDatagram::REGISTRATIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeDatagram::Builder::setRegistrations( ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::REGISTRATIONS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::initRegistrations(unsigned int size) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::REGISTRATIONS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeDatagram::Builder::adoptRegistrations(
+    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::REGISTRATIONS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>> NodeDatagram::Builder::disownRegistrations() {
+  KJ_IREQUIRE((which() == NodeDatagram::REGISTRATIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDatagram::Reader::isCrashes() const {
   return which() == NodeDatagram::CRASHES;
 }
 inline bool NodeDatagram::Builder::isCrashes() {
@@ -1303,108 +1695,270 @@
 inline bool NodeDatagram::Reader::isExonerations() const {
   return which() == NodeDatagram::EXONERATIONS;
 }
-inline bool NodeDatagram::Builder::isExonerations() {
-  return which() == NodeDatagram::EXONERATIONS;
+inline bool NodeDatagram::Builder::isExonerations() {
+  return which() == NodeDatagram::EXONERATIONS;
+}
+inline bool NodeDatagram::Reader::hasExonerations() const {
+  if (which() != NodeDatagram::EXONERATIONS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDatagram::Builder::hasExonerations() {
+  if (which() != NodeDatagram::EXONERATIONS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Reader NodeDatagram::Reader::getExonerations() const {
+  KJ_IREQUIRE((which() == NodeDatagram::EXONERATIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::getExonerations() {
+  KJ_IREQUIRE((which() == NodeDatagram::EXONERATIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeDatagram::Builder::setExonerations( ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::EXONERATIONS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::initExonerations(unsigned int size) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::EXONERATIONS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeDatagram::Builder::adoptExonerations(
+    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::EXONERATIONS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>> NodeDatagram::Builder::disownExonerations() {
+  KJ_IREQUIRE((which() == NodeDatagram::EXONERATIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDatagram::Reader::isQuarantines() const {
+  return which() == NodeDatagram::QUARANTINES;
+}
+inline bool NodeDatagram::Builder::isQuarantines() {
+  return which() == NodeDatagram::QUARANTINES;
+}
+inline bool NodeDatagram::Reader::hasQuarantines() const {
+  if (which() != NodeDatagram::QUARANTINES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDatagram::Builder::hasQuarantines() {
+  if (which() != NodeDatagram::QUARANTINES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>::Reader NodeDatagram::Reader::getQuarantines() const {
+  KJ_IREQUIRE((which() == NodeDatagram::QUARANTINES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::getQuarantines() {
+  KJ_IREQUIRE((which() == NodeDatagram::QUARANTINES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeDatagram::Builder::setQuarantines( ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::QUARANTINES);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::initQuarantines(unsigned int size) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::QUARANTINES);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeDatagram::Builder::adoptQuarantines(
+    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::QUARANTINES);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>> NodeDatagram::Builder::disownQuarantines() {
+  KJ_IREQUIRE((which() == NodeDatagram::QUARANTINES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDatagram::Reader::isLimits() const {
+  return which() == NodeDatagram::LIMITS;
+}
+inline bool NodeDatagram::Builder::isLimits() {
+  return which() == NodeDatagram::LIMITS;
+}
+inline bool NodeDatagram::Reader::hasLimits() const {
+  if (which() != NodeDatagram::LIMITS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDatagram::Builder::hasLimits() {
+  if (which() != NodeDatagram::LIMITS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>::Reader NodeDatagram::Reader::getLimits() const {
+  KJ_IREQUIRE((which() == NodeDatagram::LIMITS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::getLimits() {
+  KJ_IREQUIRE((which() == NodeDatagram::LIMITS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeDatagram::Builder::setLimits( ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::LIMITS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::initLimits(unsigned int size) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::LIMITS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeDatagram::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::LIMITS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>> NodeDatagram::Builder::disownLimits() {
+  KJ_IREQUIRE((which() == NodeDatagram::LIMITS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::TargetLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeDatagram::Reader::isPermitRequest() const {
+  return which() == NodeDatagram::PERMIT_REQUEST;
+}
+inline bool NodeDatagram::Builder::isPermitRequest() {
+  return which() == NodeDatagram::PERMIT_REQUEST;
 }
-inline bool NodeDatagram::Reader::hasExonerations() const {
-  if (which() != NodeDatagram::EXONERATIONS) return false;
+inline bool NodeDatagram::Reader::hasPermitRequest() const {
+  if (which() != NodeDatagram::PERMIT_REQUEST) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeDatagram::Builder::hasExonerations() {
-  if (which() != NodeDatagram::EXONERATIONS) return false;
+inline bool NodeDatagram::Builder::hasPermitRequest() {
+  if (which() != NodeDatagram::PERMIT_REQUEST) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Reader NodeDatagram::Reader::getExonerations() const {
-  KJ_IREQUIRE((which() == NodeDatagram::EXONERATIONS),
+inline  ::gypsumhub::wire::PermitRequest::Reader NodeDatagram::Reader::getPermitRequest() const {
+  KJ_IREQUIRE((which() == NodeDatagram::PERMIT_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::PermitRequest>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::getExonerations() {
-  KJ_IREQUIRE((which() == NodeDatagram::EXONERATIONS),
+inline  ::gypsumhub::wire::PermitRequest::Builder NodeDatagram::Builder::getPermitRequest() {
+  KJ_IREQUIRE((which() == NodeDatagram::PERMIT_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::PermitRequest>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void NodeDatagram::Builder::setExonerations( ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void NodeDatagram::Builder::setPermitRequest( ::gypsumhub::wire::PermitRequest::Reader value) {
   _builder.setDataField<NodeDatagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::EXONERATIONS);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::PERMIT_REQUEST);
+  ::capnp::_::PointerHelpers< ::gypsumhub::wire::PermitRequest>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::initExonerations(unsigned int size) {
+inline  ::gypsumhub::wire::PermitRequest::Builder NodeDatagram::Builder::initPermitRequest() {
   _builder.setDataField<NodeDatagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::EXONERATIONS);
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::PERMIT_REQUEST);
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::PermitRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void NodeDatagram::Builder::adoptExonerations(
-    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>&& value) {
+inline void NodeDatagram::Builder::adoptPermitRequest(
+    ::capnp::Orphan< ::gypsumhub::wire::PermitRequest>&& value) {
   _builder.setDataField<NodeDatagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::EXONERATIONS);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::PERMIT_REQUEST);
+  ::capnp::_::PointerHelpers< ::gypsumhub::wire::PermitRequest>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>> NodeDatagram::Builder::disownExonerations() {
-  KJ_IREQUIRE((which() == NodeDatagram::EXONERATIONS),
+inline ::capnp::Orphan< ::gypsumhub::wire::PermitRequest> NodeDatagram::Builder::disownPermitRequest() {
+  KJ_IREQUIRE((which() == NodeDatagram::PERMIT_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestFingerprint,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::PermitRequest>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool NodeDatagram::Reader::isQuarantines() const {
-  return which() == NodeDatagram::QUARANTINES;
+inline bool NodeDatagram::Reader::isPermitGrant() const {
+  return which() == NodeDatagram::PERMIT_GRANT;
 }
-inline bool NodeDatagram::Builder::isQuarantines() {
-  return which() == NodeDatagram::QUARANTINES;
+inline bool NodeDatagram::Builder::isPermitGrant() {
+  return which() == NodeDatagram::PERMIT_GRANT;
 }
-inline bool NodeDatagram::Reader::hasQuarantines() const {
-  if (which() != NodeDatagram::QUARANTINES) return false;
+inline bool NodeDatagram::Reader::hasPermitGrant() const {
+  if (which() != NodeDatagram::PERMIT_GRANT) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeDatagram::Builder::hasQuarantines() {
-  if (which() != NodeDatagram::QUARANTINES) return false;
+inline bool NodeDatagram::Builder::hasPermitGrant() {
+  if (which() != NodeDatagram::PERMIT_GRANT) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>::Reader NodeDatagram::Reader::getQuarantines() const {
-  KJ_IREQUIRE((which() == NodeDatagram::QUARANTINES),
+inline  ::gypsumhub::wire::PermitGrant::Reader NodeDatagram::Reader::getPermitGrant() const {
+  KJ_IREQUIRE((which() == NodeDatagram::PERMIT_GRANT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::PermitGrant>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::getQuarantines() {
-  KJ_IREQUIRE((which() == NodeDatagram::QUARANTINES),
+inline  ::gypsumhub::wire::PermitGrant::Builder NodeDatagram::Builder::getPermitGrant() {
+  KJ_IREQUIRE((which() == NodeDatagram::PERMIT_GRANT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::PermitGrant>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void NodeDatagram::Builder::setQuarantines( ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void NodeDatagram::Builder::setPermitGrant( ::gypsumhub::wire::PermitGrant::Reader value) {
   _builder.setDataField<NodeDatagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::QUARANTINES);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::PERMIT_GRANT);
+  ::capnp::_::PointerHelpers< ::gypsumhub::wire::PermitGrant>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::initQuarantines(unsigned int size) {
+inline  ::gypsumhub::wire::PermitGrant::Builder NodeDatagram::Builder::initPermitGrant() {
   _builder.setDataField<NodeDatagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::QUARANTINES);
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::PERMIT_GRANT);
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::PermitGrant>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void NodeDatagram::Builder::adoptQuarantines(
-    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>&& value) {
+inline void NodeDatagram::Builder::adoptPermitGrant(
+    ::capnp::Orphan< ::gypsumhub::wire::PermitGrant>&& value) {
   _builder.setDataField<NodeDatagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::QUARANTINES);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::PERMIT_GRANT);
+  ::capnp::_::PointerHelpers< ::gypsumhub::wire::PermitGrant>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>> NodeDatagram::Builder::disownQuarantines() {
-  KJ_IREQUIRE((which() == NodeDatagram::QUARANTINES),
+inline ::capnp::Orphan< ::gypsumhub::wire::PermitGrant> NodeDatagram::Builder::disownPermitGrant() {
+  KJ_IREQUIRE((which() == NodeDatagram::PERMIT_GRANT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::RequestQuarantine,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::PermitGrant>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -2109,6 +2663,292 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool TargetLimit::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TargetLimit::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TargetLimit::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TargetLimit::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TargetLimit::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TargetLimit::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TargetLimit::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TargetLimit::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t TargetLimit::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TargetLimit::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TargetLimit::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TargetLimit::Reader::getHasEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool TargetLimit::Builder::getHasEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void TargetLimit::Builder::setHasEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline double TargetLimit::Reader::getRequestsPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double TargetLimit::Builder::getRequestsPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TargetLimit::Builder::setRequestsPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TargetLimit::Reader::getStatedBeforeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TargetLimit::Builder::getStatedBeforeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TargetLimit::Builder::setStatedBeforeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitRequest::Reader::hasLimit() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitRequest::Builder::hasLimit() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::gypsumhub::wire::TargetLimit::Reader PermitRequest::Reader::getLimit() const {
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::TargetLimit>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::gypsumhub::wire::TargetLimit::Builder PermitRequest::Builder::getLimit() {
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::TargetLimit>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::gypsumhub::wire::TargetLimit::Pipeline PermitRequest::Pipeline::getLimit() {
+  return  ::gypsumhub::wire::TargetLimit::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void PermitRequest::Builder::setLimit( ::gypsumhub::wire::TargetLimit::Reader value) {
+  ::capnp::_::PointerHelpers< ::gypsumhub::wire::TargetLimit>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::gypsumhub::wire::TargetLimit::Builder PermitRequest::Builder::initLimit() {
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::TargetLimit>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitRequest::Builder::adoptLimit(
+    ::capnp::Orphan< ::gypsumhub::wire::TargetLimit>&& value) {
+  ::capnp::_::PointerHelpers< ::gypsumhub::wire::TargetLimit>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::gypsumhub::wire::TargetLimit> PermitRequest::Builder::disownLimit() {
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::TargetLimit>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PermitRequest::Reader::hasAsker() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitRequest::Builder::hasAsker() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PermitRequest::Reader::getAsker() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PermitRequest::Builder::getAsker() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PermitRequest::Builder::setAsker( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PermitRequest::Builder::initAsker(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PermitRequest::Builder::adoptAsker(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PermitRequest::Builder::disownAsker() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PermitRequest::Reader::getTicket() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitRequest::Builder::getTicket() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setTicket( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PermitRequest::Reader::getCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitRequest::Builder::getCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitRequest::Reader::getIsForwarded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitRequest::Builder::getIsForwarded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setIsForwarded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitGrant::Reader::hasLimit() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitGrant::Builder::hasLimit() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::gypsumhub::wire::TargetLimit::Reader PermitGrant::Reader::getLimit() const {
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::TargetLimit>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::gypsumhub::wire::TargetLimit::Builder PermitGrant::Builder::getLimit() {
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::TargetLimit>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::gypsumhub::wire::TargetLimit::Pipeline PermitGrant::Pipeline::getLimit() {
+  return  ::gypsumhub::wire::TargetLimit::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void PermitGrant::Builder::setLimit( ::gypsumhub::wire::TargetLimit::Reader value) {
+  ::capnp::_::PointerHelpers< ::gypsumhub::wire::TargetLimit>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::gypsumhub::wire::TargetLimit::Builder PermitGrant::Builder::initLimit() {
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::TargetLimit>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitGrant::Builder::adoptLimit(
+    ::capnp::Orphan< ::gypsumhub::wire::TargetLimit>&& value) {
+  ::capnp::_::PointerHelpers< ::gypsumhub::wire::TargetLimit>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::gypsumhub::wire::TargetLimit> PermitGrant::Builder::disownLimit() {
+  return ::capnp::_::PointerHelpers< ::gypsumhub::wire::TargetLimit>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PermitGrant::Reader::getTicket() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitGrant::Builder::getTicket() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitGrant::Builder::setTicket( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PermitGrant::Reader::getCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitGrant::Builder::getCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PermitGrant::Builder::setCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PermitGrant::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitGrant::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PermitGrant::Builder::setRetryAfterMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/gypsumhub/gateway/node_datagram.cpp
+++ b/gypsumhub/gateway/node_datagram.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
+#include <cmath>
 #include <kj/exception.h>
 #include <kj/io.h>
 #include <limits>
@@ -40,6 +41,15 @@
             writeFingerprint(list[index], fingerprints[index]);
     }
 
+    auto writeLimit(wire::TargetLimit::Builder written, const target_limit& limit, time_point now) -> void
+    {
+        written.setTarget(limit.target);
+        written.setIncarnation(limit.incarnation);
+        written.setHasEnded(!limit.requestsPerSecond.has_value());
+        written.setRequestsPerSecond(limit.requestsPerSecond.value_or(0));
+        written.setStatedBeforeMs(toMilliseconds(now - limit.statedAt));
+    }
+
     // Visitor that writes the content of a datagram into its Cap'n Proto message.
     struct content_writer {
         wire::NodeDatagram::Builder datagram;
@@ -124,6 +134,32 @@
                 list[index].setRemainingSeconds(toWholeSeconds(quarantines[index].until - now));
             }
         }
+
+        auto operator()(const std::vector<target_limit>& limits) -> void
+        {
+            auto list = datagram.initLimits(static_cast<uint32_t>(limits.size()));
+            for (auto index = uint32_t { 0 }; index < list.size(); ++index)
+                writeLimit(list[index], limits[index], now);
+        }
+
+        auto operator()(const permit_request& request) -> void
+        {
+            auto written = datagram.initPermitRequest();
+            writeLimit(written.initLimit(), request.limit, now);
+            written.setAsker(request.asker);
+            written.setTicket(request.ticket);
+            written.setCount(request.count);
+            written.setIsForwarded(request.isForwarded);
+        }
+
+        auto operator()(const permit_grant& grant) -> void
+        {
+            auto written = datagram.initPermitGrant();
+            writeLimit(written.initLimit(), grant.limit, now);
+            written.setTicket(grant.ticket);
+            written.setCount(grant.count);
+            written.setRetryAfterMs(toMilliseconds(grant.retryAfter));
+        }
     };
 
     auto readDemands(wire::NodeHello::Reader hello) -> std::vector<host_demand>
@@ -214,6 +250,28 @@
         return quarantines;
     }
 
+    // Returns nullopt for a rate that is negative or not finite.
+    auto readLimit(wire::TargetLimit::Reader limit, time_point now) -> std::optional<target_limit>
+    {
+        auto rate = limit.getRequestsPerSecond();
+        if (!std::isfinite(rate) || rate < 0)
+            return std::nullopt;
+        return target_limit { limit.getTarget().cStr(), limit.getIncarnation(), limit.getHasEnded() ? std::nullopt : std::optional(rate),
+            now - milliseconds(limit.getStatedBeforeMs()) };
+    }
+
+    auto readLimits(wire::NodeDatagram::Reader datagram, time_point now) -> std::vector<target_limit>
+    {
+        auto limits = std::vector<target_limit> {};
+        for (auto entry : datagram.getLimits()) {
+            if (limits.size() == maxDatagramEntries)
+                break;
+            if (auto limit = readLimit(entry, now))
+                limits.push_back(std::move(*limit));
+        }
+        return limits;
+    }
+
     auto readDatagram(wire::NodeDatagram::Reader datagram, time_point now) -> std::optional<node_datagram>
     {
         auto read = node_datagram { datagram.getSender().cStr(), {} };
@@ -239,6 +297,25 @@
         case wire::NodeDatagram::QUARANTINES:
             read.content = readQuarantines(datagram, now);
             return read;
+        case wire::NodeDatagram::LIMITS:
+            read.content = readLimits(datagram, now);
+            return read;
+        case wire::NodeDatagram::PERMIT_REQUEST: {
+            auto request = datagram.getPermitRequest();
+            auto limit = readLimit(request.getLimit(), now);
+            if (!limit)
+                return std::nullopt;
+            read.content = permit_request { std::move(*limit), request.getAsker().cStr(), request.getTicket(), request.getCount(), request.getIsForwarded() };
+            return read;
+        }
+        case wire::NodeDatagram::PERMIT_GRANT: {
+            auto grant = datagram.getPermitGrant();
+            auto limit = readLimit(grant.getLimit(), now);
+            if (!limit)
+                return std::nullopt;
+            read.content = permit_grant { std::move(*limit), grant.getTicket(), grant.getCount(), milliseconds(grant.getRetryAfterMs()) };
+            return read;
+        }
         }
         return std::nullopt;
     }
--- a/gypsumhub/gateway/node_datagram.h
+++ b/gypsumhub/gateway/node_datagram.h
@@ -2,6 +2,7 @@
 
 #include "gypsumhub/decision/selection/crash_report.h"
 #include "gypsumhub/decision/selection/membership_view.h"
+#include "gypsumhub/decision/selection/permit_message.h"
 #include "gypsumhub/decision/selection/registration_view.h"
 
 #include <optional>
@@ -30,7 +31,8 @@
 /// A datagram from another node.
 struct node_datagram {
     std::string sender;
-    std::variant<node_hello, std::vector<peer_outcome>, std::vector<view_change>, std::vector<crash_report>, exonerations, std::vector<quarantined_request>>
+    std::variant<node_hello, std::vector<peer_outcome>, std::vector<view_change>, std::vector<crash_report>, exonerations, std::vector<quarantined_request>,
+        std::vector<target_limit>, permit_request, permit_grant>
         content;
 };
 
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -150,7 +150,7 @@
         }
         m_context.counters.queueingDelay.record(bootClockNow() - m_arrivedAt);
         logPlacement(*placed.target, placed.probabilityBad);
-        auto ended = co_await attempt(placed.target);
+        auto ended = co_await attempt(placed.target, placed.sendBefore);
         m_dispatcher->release(*placed.target);
         m_tried.push_back(placed.target->registration.id);
         auto isOver = ended == attempt_end::Final || m_callerLeft || (ended == attempt_end::Failed && !m_route->isRetryable)
@@ -203,7 +203,7 @@
     co_return nullptr;
 }
 
-auto request_handler::attempt(std::shared_ptr<target_state> used) -> task<attempt_end>
+auto request_handler::attempt(std::shared_ptr<target_state> used, time_point sendBefore) -> task<attempt_end>
 {
     auto& target = *used;
     auto connection = co_await openConnection(target);
@@ -213,8 +213,8 @@
         co_return attempt_end::NotSent;
     }
     auto now = bootClockNow();
-    // The target may have started draining, or the caller may have disconnected, while the connection was opened.
-    auto isTooLate = now + minTimeLeft >= targetDeadline() || !m_context.shutdown.accepts(now, m_deadline);
+    // While the connection was opened, the target may have started draining, the permit may have ended, or the caller may have left.
+    auto isTooLate = now + minTimeLeft >= targetDeadline() || now >= sendBefore || !m_context.shutdown.accepts(now, m_deadline);
     if (target.isClosed || target.registration.isDraining || m_callerLeft || isTooLate || m_context.poisonRequests.quarantinedUntil(m_identity, now)) {
         m_context.connections.release(target.registration.id, connection);
         co_return attempt_end::NotSent;
--- a/gypsumhub/gateway/request_handler.h
+++ b/gypsumhub/gateway/request_handler.h
@@ -48,7 +48,7 @@
     auto targetDeadline() const -> time_point;
     auto makePlacementRequest() -> placement_request;
     auto serve() -> task<caller_reply>;
-    auto attempt(std::shared_ptr<target_state>) -> task<attempt_end>;
+    auto attempt(std::shared_ptr<target_state>, time_point sendBefore) -> task<attempt_end>;
     auto openConnection(target_state&) -> task<std::shared_ptr<target_http_connection>>;
     auto classify(const std::shared_ptr<target_state>&, exchange_result&, time_point sentAt) -> attempt_end;
     auto classifyAnswer(target_state&, exchange_result&, time_point sentAt) -> attempt_end;
--- a/gypsumhub/gateway/service_dispatcher.cpp
+++ b/gypsumhub/gateway/service_dispatcher.cpp
@@ -19,24 +19,29 @@
     bool isFinished { false };
 };
 
-service_dispatcher::service_dispatcher(asio::io_context& context, std::string service, load_balancer& balancer, fleet_retry_budget::settings retryBudget)
+service_dispatcher::service_dispatcher(asio::io_context& context, std::string service, load_balancer& balancer, fleet_retry_budget::settings retryBudget, std::function<void()> requestPermits)
     : m_context(context)
     , m_service(std::move(service))
     , m_balancer(balancer)
     , m_retryBudget(retryBudget)
+    , m_requestPermits(std::move(requestPermits))
 {
 }
 
 auto service_dispatcher::tryPlace(const placement_request& request, time_point now) -> std::optional<placement>
 {
     auto chosen = m_balancer.choose({ m_service, request.isRetryable, request.tried }, now);
+    if (chosen.needsPermit) {
+        m_balancer.permits().recordDemand(chosen.needsPermit->registration.id, m_queue.size());
+        m_requestPermits();
+    }
     if (chosen.usable == 0)
         return placement { placement_end::NoTarget };
     if (!chosen.target || (chosen.shouldWait && now < request.acceptAnyAt))
         return std::nullopt;
-    m_balancer.recordSent(*chosen.target, now);
+    auto sendBefore = m_balancer.recordSent(*chosen.target, now);
     ++m_inFlight;
-    return placement { placement_end::Placed, chosen.target, chosen.probabilityBad };
+    return placement { placement_end::Placed, chosen.target, chosen.probabilityBad, {}, sendBefore };
 }
 
 auto service_dispatcher::place(placement_request request, std::shared_ptr<placement_wait>& handle) -> task<placement>
@@ -47,10 +52,10 @@
             co_return *placed;
     }
     auto waiting = waiting_request { ++m_lastTicket, request.priority, request.arrivedAt, request.expiresAt };
-    auto usable = m_balancer.choose({ m_service, request.isRetryable, request.tried }, now).usable;
-    auto estimate = m_queue.evaluate(waiting, { m_inFlight, usable, m_balancer.model(m_service).meanResponseTime() });
+    auto chosen = m_balancer.choose({ m_service, request.isRetryable, request.tried }, now);
+    auto estimate = m_queue.evaluate(waiting, { m_inFlight, chosen.usable, m_balancer.model(m_service).meanResponseTime(), chosen.outlook });
     if (!estimate.isAdmitted)
-        co_return placement { usable == 0 ? placement_end::NoTarget : placement_end::NoCapacity, nullptr, 0, estimate.predictedWait };
+        co_return placement { chosen.usable == 0 ? placement_end::NoTarget : placement_end::NoCapacity, nullptr, 0, estimate.predictedWait };
     auto wait = std::make_shared<placement_wait>(m_context.get_executor(), std::move(request));
     wait->ticket = waiting.ticket;
     handle = wait;
--- a/gypsumhub/gateway/service_dispatcher.h
+++ b/gypsumhub/gateway/service_dispatcher.h
@@ -5,6 +5,7 @@
 #include "gypsumhub/decision/selection/load_balancer.h"
 #include "gypsumhub/decision/selection/placement_queue.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -40,6 +41,8 @@
     std::shared_ptr<target_state> target;
     double probabilityBad { 0 };
     duration predictedWait;
+    /// The permit to send the request to the target ends then.
+    time_point sendBefore { never };
 };
 
 /// A waiting request, and the handle to cancel its wait.
@@ -49,7 +52,8 @@
 /// flight, and the retry budget.
 class service_dispatcher {
 public:
-    service_dispatcher(asio::io_context&, std::string service, load_balancer&, fleet_retry_budget::settings);
+    /// `requestPermits` is called when a request would be placed at a target for which this node needs a permit.
+    service_dispatcher(asio::io_context&, std::string service, load_balancer&, fleet_retry_budget::settings, std::function<void()> requestPermits);
 
     /// Waits for a target. Meanwhile `wait` holds the handle for `cancelWait`.
     auto place(placement_request, std::shared_ptr<placement_wait>& wait) -> task<placement>;
@@ -74,6 +78,7 @@
     std::string m_service;
     load_balancer& m_balancer;
     fleet_retry_budget m_retryBudget;
+    std::function<void()> m_requestPermits;
     placement_queue m_queue;
     std::map<uint64_t, std::shared_ptr<placement_wait>> m_waits;
     uint64_t m_lastTicket { 0 };
--- a/unit_tests/decision/selection/membership_view_test.cpp
+++ b/unit_tests/decision/selection/membership_view_test.cpp
@@ -2,6 +2,7 @@
 
 #include "gypsumhub/decision/selection/watch_timing.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <map>
 
@@ -343,3 +344,22 @@
     CHECK(std::ranges::count_if(reached, [](auto& entry) { return entry.first.starts_with("b-"); }) > 2);
     CHECK(memberView.localPeers().size() == 19);
 }
+
+TEST_CASE("all nodes name the same issuers of the permits of a target: nodes of its data centre, without those that are leaving or silent")
+{
+    auto first = makeView("n1"), second = makeView("n2");
+    auto issuers = first.permitIssuers("t", "a1", at(100));
+    CHECK(issuers == second.permitIssuers("t", "a1", at(100)));
+    REQUIRE(issuers.size() == membership_view::maxPermitIssuers);
+    // Targets are spread over the nodes.
+    auto firstOf = std::map<std::string, int> {};
+    for (auto target = 0; target < 60; ++target)
+        ++firstOf[first.permitIssuers(std::to_string(target), "a1", at(100)).front()];
+    CHECK(firstOf.size() == 3);
+    // A data centre without nodes is served by the others.
+    CHECK(first.permitIssuers("t", "b1", at(100)).size() == membership_view::maxPermitIssuers);
+    auto silent = first.permitIssuers("t", "a1", at(5'000));
+    CHECK(silent == std::vector<std::string> { "n1" });
+    first.setOwnState(true, true);
+    CHECK(std::ranges::count(first.permitIssuers("t", "a1", at(100)), "n1") == 0);
+}
--- a/unit_tests/gateway/node_datagram_test.cpp
+++ b/unit_tests/gateway/node_datagram_test.cpp
@@ -1,6 +1,7 @@
 #include "gypsumhub/gateway/node_datagram.h"
 
 #include <algorithm>
+#include <cmath>
 #include <doctest/doctest.h>
 #include <random>
 
@@ -117,6 +118,20 @@
         return quarantines.size() <= maxDatagramQuarantines
             && std::ranges::all_of(quarantines, [](auto& entry) { return entry.until >= now && entry.until <= now + maxReceivedQuarantine; });
     }
+
+    auto operator()(const target_limit& limit) -> bool
+    {
+        auto rate = limit.requestsPerSecond.value_or(0);
+        return std::isfinite(rate) && rate >= 0 && limit.statedAt <= now && addText(limit.target);
+    }
+
+    auto operator()(const std::vector<target_limit>& limits) -> bool
+    {
+        return limits.size() <= maxDatagramEntries && std::ranges::all_of(limits, [&](auto& limit) { return (*this)(limit); });
+    }
+
+    auto operator()(const permit_request& request) -> bool { return (*this)(request.limit) && addText(request.asker); }
+    auto operator()(const permit_grant& grant) -> bool { return (*this)(grant.limit) && grant.retryAfter >= duration {}; }
 };
 
 auto isWithinLimits(const node_datagram& datagram) -> bool
@@ -238,3 +253,50 @@
         }
     }
 }
+
+TEST_CASE("limits, permit requests and grants arrive as they were sent, with ages instead of clock times")
+{
+    auto later = now + seconds(1000);
+    auto limit = target_limit { "i-1", 1'700'000'000'123, 0.2, now - milliseconds(1'500) };
+    auto ended = target_limit { "i-2", 7, std::nullopt, now };
+    auto limits = sendAndReceive(std::vector { limit, ended }, later);
+    REQUIRE(limits.size() == 2);
+    CHECK(limits[0].target == "i-1");
+    CHECK(limits[0].incarnation == 1'700'000'000'123);
+    CHECK(limits[0].requestsPerSecond == 0.2);
+    CHECK((limits[0].statedAt == later - milliseconds(1'500)));
+    CHECK(!limits[1].requestsPerSecond);
+
+    auto request = sendAndReceive(permit_request { limit, "n7", 99, 12, true }, later);
+    CHECK(request.limit.target == "i-1");
+    CHECK(request.asker == "n7");
+    CHECK(request.ticket == 99);
+    CHECK(request.count == 12);
+    CHECK(request.isForwarded);
+
+    auto grant = sendAndReceive(permit_grant { ended, 99, 3, milliseconds(700) }, later);
+    CHECK(!grant.limit.requestsPerSecond);
+    CHECK(grant.ticket == 99);
+    CHECK(grant.count == 3);
+    CHECK((grant.retryAfter == milliseconds(700)));
+}
+
+TEST_CASE("a permit request and its answer stay small, since an issuer receives many")
+{
+    constexpr auto maxPermitBytes = size_t { 160 };
+    auto limit = target_limit { "i-0123456789", 1'700'000'000'123, 123.45, now - seconds(5) };
+    auto node = std::string("edge-region-a-1234");
+    CHECK(encodeDatagram({ node, permit_request { limit, node, ~uint64_t { 0 }, 64, true } }, now).size() <= maxPermitBytes);
+    CHECK(encodeDatagram({ node, permit_grant { limit, ~uint64_t { 0 }, 63, milliseconds(2'999) } }, now).size() <= maxPermitBytes);
+}
+
+TEST_CASE("limits that are negative or not finite are not taken from a datagram")
+{
+    for (auto rate : { -1.0, std::nan(""), HUGE_VAL }) {
+        CAPTURE(rate);
+        auto limit = target_limit { "i-1", 1, rate, now };
+        CHECK(sendAndReceive(std::vector { limit }, now).empty());
+        CHECK(!decodeDatagram(encodeDatagram({ "n1", permit_request { limit, "n1", 1, 1 } }, now), now));
+        CHECK(!decodeDatagram(encodeDatagram({ "n1", permit_grant { limit, 1, 1, {} } }, now), now));
+    }
+}
