--- a/fakes/fake_http_server.cpp
+++ b/fakes/fake_http_server.cpp
@@ -57,6 +57,8 @@
                 return sendStreamHeader();
             m_response = { static_cast<http::status>(m_answer.status), 11 };
             m_response.set(http::field::content_type, "application/json");
+            for (auto& [name, value] : m_answer.fields)
+                m_response.set(name, value);
             m_response.keep_alive(m_request.keep_alive());
             m_response.body() = m_answer.body;
             m_response.prepare_payload();
--- a/fakes/fake_http_server.h
+++ b/fakes/fake_http_server.h
@@ -12,6 +12,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace gypsumhub {
 
@@ -38,6 +40,8 @@
     bool closes { false };
     /// When set, the answer is an endless stream of lines. It is polled every few milliseconds and returns the next line, if any.
     std::function<std::optional<std::string>()> nextLine {};
+    /// Further header fields.
+    std::vector<std::pair<std::string, std::string>> fields {};
 };
 
 using fake_http_handler = std::function<fake_http_answer(boost::beast::http::verb, const fake_http_target&, const std::string& body)>;
--- a/fakes/fake_keyspace_server.cpp
+++ b/fakes/fake_keyspace_server.cpp
@@ -42,8 +42,8 @@
 
 auto fake_keyspace_server::putEntry(const std::string& key, std::string value, uint64_t lease) -> void
 {
-    m_entries[key] = { std::move(value), ++m_revision, lease };
-    m_changes.push_back({ key, m_entries[key], false });
+    m_content.entries[key] = { std::move(value), ++m_content.revision, lease };
+    m_content.changes.push_back({ key, m_content.entries[key], false });
 }
 
 auto fake_keyspace_server::remove(const std::string& key) -> void
@@ -54,16 +54,16 @@
 
 auto fake_keyspace_server::removeEntry(const std::string& key) -> void
 {
-    m_entries.erase(key);
-    m_changes.push_back({ key, { {}, ++m_revision }, true });
+    m_content.entries.erase(key);
+    m_content.changes.push_back({ key, { {}, ++m_content.revision }, true });
 }
 
 auto fake_keyspace_server::endLeases() -> void
 {
     auto lock = std::lock_guard(m_mutex);
-    m_oldestLease = m_newestLease + 1;
+    m_content.oldestLease = m_content.newestLease + 1;
     auto ended = std::vector<std::string> {};
-    for (auto& [key, stored] : m_entries) {
+    for (auto& [key, stored] : m_content.entries) {
         if (stored.lease != 0)
             ended.push_back(key);
     }
@@ -71,6 +71,19 @@
         removeEntry(key);
 }
 
+auto fake_keyspace_server::saveCopy() -> void
+{
+    auto lock = std::lock_guard(m_mutex);
+    m_copy = m_content;
+}
+
+auto fake_keyspace_server::restoreCopy() -> void
+{
+    auto lock = std::lock_guard(m_mutex);
+    m_content = m_copy;
+    ++m_era;
+}
+
 auto fake_keyspace_server::setUnavailable(bool unavailable) -> void
 {
     auto lock = std::lock_guard(m_mutex);
@@ -81,7 +94,7 @@
 {
     auto lock = std::lock_guard(m_mutex);
     auto found = std::vector<std::string> {};
-    for (auto& [key, stored] : m_entries) {
+    for (auto& [key, stored] : m_content.entries) {
         if (key.starts_with(prefix))
             found.push_back(key);
     }
@@ -101,32 +114,40 @@
     else if (target.path == "/gypsumhub/kv-watch")
         response = answerWatch(target);
     else if (target.path == "/gypsumhub/kv-lease")
-        response.body = R"({"lease":)" + std::to_string(++m_newestLease) + R"(,"lease_ttl":"5s"})";
+        response.body = R"({"lease":)" + std::to_string(++m_content.newestLease) + R"(,"lease_ttl":"5s"})";
     else {
         response.body = "{}";
         constexpr auto renewal = std::string_view { "/gypsumhub/kv-keep/" };
-        auto isEnded = target.path.starts_with(renewal) && std::stoull(target.path.substr(renewal.size())) < m_oldestLease;
+        auto isEnded = target.path.starts_with(renewal) && !holdsLease(std::stoull(target.path.substr(renewal.size())));
         if (isEnded || (target.path == "/gypsumhub/kv-txn" && !write(body)))
             response.status = 404;
     }
+    response.fields = { { "Store-Era", std::to_string(m_era) } };
     return response;
 }
 
+auto fake_keyspace_server::holdsLease(uint64_t lease) const -> bool
+{
+    return lease >= m_content.oldestLease && lease <= m_content.newestLease;
+}
+
 auto fake_keyspace_server::answerRange(const fake_http_target& target) -> std::string
 {
     auto items = json::array {};
-    for (auto& [key, stored] : m_entries) {
+    for (auto& [key, stored] : m_content.entries) {
         if (key.starts_with(target.text("prefix")))
             items.push_back(itemOf(key, stored.value, stored.revision));
     }
-    return json::serialize(json::object { { "items", items }, { "has_more", false }, { "store_revision", m_revision } });
+    return json::serialize(json::object { { "items", items }, { "has_more", false }, { "store_revision", m_content.revision } });
 }
 
 auto fake_keyspace_server::answerWatch(const fake_http_target& target) -> fake_http_answer
 {
     auto events = json::array {};
     auto after = static_cast<uint64_t>(target.number("after", 0));
-    for (auto& change : m_changes) {
+    if (after > m_content.revision)
+        return { 410, "{}" };
+    for (auto& change : m_content.changes) {
         if (change.written.revision <= after || !change.key.starts_with(target.text("prefix")))
             continue;
         if (change.isRemoval)
@@ -136,7 +157,7 @@
     }
     auto response = fake_http_answer {};
     response.delay = events.empty() ? emptyWatchDelay : duration {};
-    response.body = json::serialize(json::object { { "events", events }, { "store_revision", m_revision } });
+    response.body = json::serialize(json::object { { "events", events }, { "store_revision", m_content.revision } });
     return response;
 }
 
@@ -145,7 +166,7 @@
     auto document = json::parse(body);
     auto& puts = document.at("puts").as_array();
     auto leaseOf = [](const json::value& put) { return put.as_object().contains("lease") ? put.at("lease").to_number<uint64_t>() : 0; };
-    if (std::ranges::any_of(puts, [&](auto& put) { return leaseOf(put) != 0 && leaseOf(put) < m_oldestLease; }))
+    if (std::ranges::any_of(puts, [&](auto& put) { return leaseOf(put) != 0 && !holdsLease(leaseOf(put)); }))
         return false;
     for (auto& put : puts)
         putEntry(json::value_to<std::string>(put.at("key")), fromBase64(json::value_to<std::string>(put.at("value"))).value_or(""), leaseOf(put));
--- a/fakes/fake_keyspace_server.h
+++ b/fakes/fake_keyspace_server.h
@@ -25,6 +25,10 @@
     auto setUnavailable(bool) -> void;
     /// Ends all leases and removes the entries that are attached to them.
     auto endLeases() -> void;
+    /// Keeps a copy of the present state for `restoreCopy`.
+    auto saveCopy() -> void;
+    /// Returns to the state of the latest copy: later writes and leases are lost, their numbers are given out again, and the era rises.
+    auto restoreCopy() -> void;
     /// Keys that start with `prefix`, in order.
     auto keys(std::string_view prefix) -> std::vector<std::string>;
 
@@ -43,19 +47,27 @@
     };
 
     auto answer(const fake_http_target&, const std::string& body) -> fake_http_answer;
+    auto holdsLease(uint64_t lease) const -> bool;
     auto answerRange(const fake_http_target&) -> std::string;
     auto answerWatch(const fake_http_target&) -> fake_http_answer;
     auto write(const std::string& body) -> bool;
     auto putEntry(const std::string& key, std::string value, uint64_t lease) -> void;
     auto removeEntry(const std::string& key) -> void;
 
+    /// What a copy of the store holds.
+    struct content {
+        std::map<std::string, entry, std::less<>> entries;
+        std::vector<change> changes;
+        uint64_t revision { 1 };
+        uint64_t newestLease { 0 };
+        /// Leases with a lower number have ended.
+        uint64_t oldestLease { 1 };
+    };
+
     std::mutex m_mutex;
-    std::map<std::string, entry, std::less<>> m_entries;
-    std::vector<change> m_changes;
-    uint64_t m_revision { 1 };
-    uint64_t m_newestLease { 0 };
-    /// Leases with a lower number have ended.
-    uint64_t m_oldestLease { 1 };
+    content m_content;
+    content m_copy;
+    uint64_t m_era { 1 };
     bool m_isUnavailable { false };
     boost::asio::io_context m_context { 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_workGuard;
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -65,6 +65,8 @@
     membership_view memberView;
     registration_view view;
     poison_request_detector poisonRequests;
+    /// The era that the store named last; 0 before its first answer.
+    uint64_t storeEra { 0 };
     /// When the view was last known to match the store.
     time_point viewConfirmedAt {};
     /// Before the members that hold connections.
--- a/gypsumhub/gateway/store_access.cpp
+++ b/gypsumhub/gateway/store_access.cpp
@@ -39,6 +39,11 @@
         ++m_context.counters.storeFailures;
         m_context.view.recordStoreOutage(bootClockNow());
     }
+    if (auto era = m_store.era(); era > m_context.storeEra) {
+        if (m_context.storeEra != 0)
+            m_context.log.write(log_class::Notable, "store_restored", { { "call", call }, { "era", era }, { "before", m_context.storeEra } });
+        m_context.storeEra = era;
+    }
     if (isAnswered == m_isStoreLost) {
         m_isStoreLost = !isAnswered;
         m_storeLostSince = bootClockNow();
--- a/gypsumhub/gateway/target_watcher.cpp
+++ b/gypsumhub/gateway/target_watcher.cpp
@@ -122,9 +122,10 @@
     for (auto& event : watched.value.changes) {
         auto change = std::optional<view_change> {};
         auto read = event.isRemoval ? std::nullopt : readEntry(event.entry);
-        if (read)
+        if (read) {
+            logLateEntry(*read);
             change = m_access.context().view.put(*read);
-        else if (event.isRemoval)
+        } else if (event.isRemoval)
             change = m_access.context().view.remove(targetIdOf(event.entry.key), event.entry.modRevision, view_source::Store, bootClockNow());
         if (change)
             changes.push_back(std::move(*change));
@@ -151,6 +152,16 @@
         });
 }
 
+auto target_watcher::logLateEntry(const target_registration& read) -> void
+{
+    auto& entries = m_access.context().view.entries();
+    auto known = entries.find(read.id);
+    if (known == entries.end() || known->second.revision <= read.revision)
+        return;
+    ++m_access.context().counters.lateRegistrations;
+    m_access.context().log.write(log_class::Notable, "registration_late", { { "target", read.id }, { "revision", read.revision }, { "known_revision", known->second.revision } });
+}
+
 auto target_watcher::apply(std::span<const view_change> changes) -> void
 {
     auto now = bootClockNow();
--- a/gypsumhub/gateway/target_watcher.h
+++ b/gypsumhub/gateway/target_watcher.h
@@ -45,6 +45,8 @@
     /// the store succeeded.
     auto readChanges() -> task<bool>;
     auto readEntry(const store_entry&) -> std::optional<target_registration>;
+    /// Logs an entry of the store that will be ignored since the known one is newer.
+    auto logLateEntry(const target_registration&) -> void;
     auto apply(std::span<const view_change>) -> void;
 
     store_access& m_access;
--- a/gypsumhub/platform/kv_client.cpp
+++ b/gypsumhub/platform/kv_client.cpp
@@ -3,11 +3,13 @@
 #include "gypsumhub/config/section_reader.h"
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/core/deadline_timer.h"
+#include "gypsumhub/platform/wire_names.h"
 #include "gypsumhub/store/base64.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <charconv>
 
 namespace gypsumhub {
 
@@ -69,6 +71,15 @@
         return escaped;
     }
 
+    // 0 for a node, which names no era.
+    auto eraOf(const http::fields& head) -> uint64_t
+    {
+        auto text = head[wire_names::storeEra];
+        auto era = uint64_t { 0 };
+        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), era);
+        return error == std::errc {} && end == text.data() + text.size() ? era : 0;
+    }
+
     auto arrayAt(const json::value& body, std::string_view name) -> const json::array*
     {
         auto* object = body.if_object();
@@ -145,6 +156,7 @@
     auto result = reply { statusOf(parser.get().result_int()), json::parse(parser.get().body(), parseError) };
     if (parseError && result.status == keyspace_status::Ok && !parser.get().body().empty())
         result.status = keyspace_status::Refused;
+    m_era = std::max(m_era, eraOf(parser.get()));
     used->idleSince = bootClockNow();
     if (!isWatch && result.status == keyspace_status::Ok)
         m_minCallDelay = std::min(m_minCallDelay, used->idleSince - calledAt);
--- a/gypsumhub/platform/kv_client.h
+++ b/gypsumhub/platform/kv_client.h
@@ -25,6 +25,7 @@
     auto endLease(uint64_t lease, time_point deadline) -> task<keyspace_status> override;
     auto put(std::string key, std::string value, uint64_t lease, time_point deadline) -> task<keyspace_status> override;
 
+    auto era() const -> uint64_t override { return m_era; }
     auto minCallDelay() const -> duration override { return m_minCallDelay; }
     /// Number of calls since construction.
     auto callCount() const -> uint64_t { return m_calls; }
@@ -46,6 +47,7 @@
     /// Idle connections, kept open for later calls. A connection whose call failed is not reused.
     std::vector<std::unique_ptr<connection>> m_idle;
     uint64_t m_calls { 0 };
+    uint64_t m_era { 0 };
     duration m_minCallDelay { seconds(10) };
 };
 
--- a/gypsumhub/platform/wire_names.h
+++ b/gypsumhub/platform/wire_names.h
@@ -19,6 +19,9 @@
     /// On an answer: the requests per second that the target accepts from all nodes together, until an answer comes without the field.
     constexpr auto rateLimit = std::string_view { "Server-Limit" };
 
+    /// On each answer of the store: rises by one whenever the store comes back from an older copy.
+    constexpr auto storeEra = std::string_view { "Store-Era" };
+
     constexpr auto readinessPath = std::string_view { "/gypsumhub/readyz" };
     constexpr auto directoryPath = std::string_view { "/gypsumhub/resolve" };
 
--- a/gypsumhub/store/keyspace.h
+++ b/gypsumhub/store/keyspace.h
@@ -75,6 +75,8 @@
     virtual auto grantLease(duration ttl, time_point deadline) -> task<keyspace_result<uint64_t>> = 0;
     virtual auto renewLease(uint64_t lease, time_point deadline) -> task<keyspace_status> = 0;
     virtual auto endLease(uint64_t lease, time_point deadline) -> task<keyspace_status> = 0;
+    /// The highest era that the store named so far. It rises when the store comes back from an older copy, and its revisions go back.
+    virtual auto era() const -> uint64_t = 0;
     /// The shortest measured duration of a call that the store answers without waiting.
     virtual auto minCallDelay() const -> duration = 0;
     /// Writes a key that the store removes when the lease ends.
