--- a/fakes/fake_keyspace_server.cpp
+++ b/fakes/fake_keyspace_server.cpp
@@ -111,6 +111,8 @@
     }
     if (target.path == "/gypsumhub/kv-range")
         response.body = answerRange(target);
+    else if (target.path == "/gypsumhub/kv-key")
+        response = answerKey(target);
     else if (target.path == "/gypsumhub/kv-watch")
         response = answerWatch(target);
     else if (target.path == "/gypsumhub/kv-lease")
@@ -131,6 +133,16 @@
     return lease >= m_content.oldestLease && lease <= m_content.newestLease;
 }
 
+auto fake_keyspace_server::answerKey(const fake_http_target& target) -> fake_http_answer
+{
+    auto found = m_content.entries.find(target.text("key"));
+    if (found == m_content.entries.end())
+        return { 404, "{}" };
+    auto item = itemOf(found->first, found->second.value, found->second.revision);
+    item["lease"] = found->second.lease;
+    return { 200, json::serialize(item) };
+}
+
 auto fake_keyspace_server::answerRange(const fake_http_target& target) -> std::string
 {
     auto items = json::array {};
--- a/fakes/fake_keyspace_server.h
+++ b/fakes/fake_keyspace_server.h
@@ -48,6 +48,7 @@
 
     auto answer(const fake_http_target&, const std::string& body) -> fake_http_answer;
     auto holdsLease(uint64_t lease) const -> bool;
+    auto answerKey(const fake_http_target&) -> fake_http_answer;
     auto answerRange(const fake_http_target&) -> std::string;
     auto answerWatch(const fake_http_target&) -> fake_http_answer;
     auto write(const std::string& body) -> bool;
--- a/gypsumhub/config/target_registration.h
+++ b/gypsumhub/config/target_registration.h
@@ -22,7 +22,7 @@
     time_point warmedUpAt {};
     /// Start of this incarnation in Unix milliseconds; 0 when not given. Another value under the same id means another VM.
     uint64_t incarnation { 0 };
-    /// Store revision of the entry.
+    /// Position of the entry in the history of the store (core/store_position.h).
     uint64_t revision { 0 };
 
     /// Whether `other` is equal in all fields that routing depends on.
--- a/gypsumhub/decision/selection/registration_view.cpp
+++ b/gypsumhub/decision/selection/registration_view.cpp
@@ -1,9 +1,11 @@
 #include "gypsumhub/decision/selection/registration_view.h"
 
 #include "gypsumhub/core/hash.h"
+#include "gypsumhub/core/store_position.h"
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace gypsumhub {
 
@@ -11,6 +13,8 @@
 
     // Live targets have registered again about 2 s after the store has recovered.
     constexpr auto reregistrationTime = milliseconds(2200);
+    // The store has removed the restored entries of targets that had left: it does so after three missing heartbeats.
+    constexpr auto outdatedEntryTime = milliseconds(10'000);
     constexpr auto maxTombstones = size_t { 4096 };
 
     auto digestOf(const target_registration& entry) -> uint64_t
@@ -27,7 +31,7 @@
 {
     m_revision = std::max(m_revision, entry.revision);
     if (auto removed = m_tombstones.find(entry.id); removed != m_tombstones.end()) {
-        if (entry.revision <= removed->second)
+        if (entry.revision <= removed->second.revision)
             return std::nullopt;
         m_tombstones.erase(removed);
     }
@@ -44,20 +48,25 @@
 }
 
 auto registration_view::remove(std::string_view id, uint64_t revision, view_source source, time_point now) -> std::optional<view_change>
+{
+    return removeOrHold(id, revision, source == view_source::Store ? m_holdRemovalsUntil : time_point {}, now);
+}
+
+auto registration_view::removeOrHold(std::string_view id, uint64_t revision, time_point holdUntil, time_point now) -> std::optional<view_change>
 {
     m_revision = std::max(m_revision, revision);
     auto known = m_entries.find(id);
     if (known == m_entries.end() || known->second.revision > revision)
         return std::nullopt;
-    if (source == view_source::Store && now < m_holdRemovalsUntil) {
-        m_pendingRemovals.try_emplace(std::string(id), m_holdRemovalsUntil);
+    if (now < holdUntil) {
+        m_pendingRemovals.try_emplace(std::string(id), holdUntil);
         return std::nullopt;
     }
     auto change = view_change { known->second, true };
     change.registration.revision = std::max(revision, known->second.revision);
     if (m_tombstones.size() >= maxTombstones)
         m_tombstones.clear();
-    m_tombstones[known->first] = change.registration.revision;
+    m_tombstones[known->first] = { change.registration.revision, known->second.incarnation };
     if (auto held = m_pendingRemovals.find(id); held != m_pendingRemovals.end())
         m_pendingRemovals.erase(held);
     m_digest -= digestOf(known->second);
@@ -65,12 +74,47 @@
     return change;
 }
 
+auto registration_view::recordEra(uint64_t revision, time_point now) -> void
+{
+    auto isFirst = m_revision == 0;
+    if (eraOf(revision) <= m_era)
+        return;
+    m_era = eraOf(revision);
+    if (isFirst)
+        return;
+    m_keepMissingUntil = now + reregistrationTime;
+    m_ignoreOutdatedUntil = now + outdatedEntryTime;
+    m_isListingPending = true;
+}
+
+auto registration_view::isOutdated(const target_registration& entry) const -> bool
+{
+    auto isOlder = [&](uint64_t known) { return eraOf(known) < eraOf(entry.revision); };
+    if (auto removed = m_tombstones.find(entry.id); removed != m_tombstones.end())
+        return isOlder(removed->second.revision) && entry.incarnation <= removed->second.incarnation;
+    auto known = m_entries.find(entry.id);
+    if (known == m_entries.end() || !isOlder(known->second.revision))
+        return false;
+    auto isSame = entry.incarnation == known->second.incarnation;
+    return entry.incarnation < known->second.incarnation || (isSame && known->second.isDraining && !entry.isDraining);
+}
+
+auto registration_view::takeListingDue(time_point now) -> bool
+{
+    return now >= m_ignoreOutdatedUntil && std::exchange(m_isListingPending, false);
+}
+
 auto registration_view::replace(std::span<const target_registration> listed, uint64_t revision, view_source source, time_point now,
     const bucket_digests::bucket_set& buckets) -> std::vector<view_change>
 {
+    auto isFromStore = source == view_source::Store;
+    if (isFromStore || m_revision == 0)
+        recordEra(revision, now);
     m_revision = std::max(m_revision, revision);
     auto changes = std::vector<view_change> {};
     for (auto& entry : listed) {
+        if (isFromStore && now < m_ignoreOutdatedUntil && isOutdated(entry))
+            continue;
         if (auto change = put(entry))
             changes.push_back(std::move(*change));
     }
@@ -82,8 +126,9 @@
         if (buckets[bucket_digests::bucketOf(id)] && !ids.contains(id))
             missing.push_back(id);
     }
+    auto holdUntil = isFromStore ? std::max(m_holdRemovalsUntil, m_keepMissingUntil) : time_point {};
     for (auto& id : missing) {
-        if (auto change = remove(id, revision, source, now))
+        if (auto change = removeOrHold(id, revision, holdUntil, now))
             changes.push_back(std::move(*change));
     }
     return changes;
--- a/gypsumhub/decision/selection/registration_view.h
+++ b/gypsumhub/decision/selection/registration_view.h
@@ -32,6 +32,9 @@
 /// the store during an outage is therefore held back until the target had time to register again. Only the node that reads the
 /// store decides this. A removal received from another node is applied at once, because an outage between this node and the store
 /// does not mean that the reader has one.
+///
+/// A store that comes back from an older copy says what was true earlier, until the targets have written again. For a while, its
+/// listings therefore neither remove entries nor bring back what is known to have changed; changes made after the return count at once.
 class registration_view {
 public:
     /// Adds or updates an entry. Returns the change when it affects routing. An entry older than the known one is ignored.
@@ -44,6 +47,8 @@
         const bucket_digests::bucket_set& buckets = bucket_digests::bucket_set().set()) -> std::vector<view_change>;
     /// Records that a call to the store failed. Removals are held back for a while from `now` on.
     auto recordStoreOutage(time_point now) -> void;
+    /// Whether the store is to be listed again since what an older copy said was ignored. True once, when that time has ended.
+    auto takeListingDue(time_point now) -> bool;
     /// Applies and returns the removals whose hold has ended.
     auto takeDueRemovals(time_point now) -> std::vector<view_change>;
 
@@ -56,12 +61,30 @@
     auto entries() const -> const std::map<std::string, target_registration, std::less<>>& { return m_entries; }
 
 private:
+    struct tombstone {
+        uint64_t revision { 0 };
+        uint64_t incarnation { 0 };
+    };
+
+    auto removeOrHold(std::string_view id, uint64_t revision, time_point holdUntil, time_point now) -> std::optional<view_change>;
+    /// Notices a listing of the store in a new era.
+    auto recordEra(uint64_t revision, time_point now) -> void;
+    /// Whether an entry of a listing in a new era says what was true before the known entry or removal.
+    auto isOutdated(const target_registration&) const -> bool;
+
     std::map<std::string, target_registration, std::less<>> m_entries;
-    /// Tombstones: revisions of removals by target id. They keep an older entry from another node from restoring a removed target.
-    std::map<std::string, uint64_t, std::less<>> m_tombstones;
+    /// Removals by target id. They keep an older entry from another node from restoring a removed target.
+    std::map<std::string, tombstone, std::less<>> m_tombstones;
     /// Removals that are held back, by target id, with the end of the hold.
     std::map<std::string, time_point, std::less<>> m_pendingRemovals;
     time_point m_holdRemovalsUntil {};
+    /// The era of the newest listing of the store, or of the first listing of any source.
+    uint16_t m_era { 0 };
+    /// Entries that a listing lacks are kept until then.
+    time_point m_keepMissingUntil {};
+    /// Outdated entries of a listing are ignored until then.
+    time_point m_ignoreOutdatedUntil {};
+    bool m_isListingPending { false };
     uint64_t m_revision { 0 };
     /// Sum of the entries' hashes, updated with each change because digests are compared several times a second.
     uint64_t m_digest { 0 };
--- a/gypsumhub/gateway/configuration_watcher.cpp
+++ b/gypsumhub/gateway/configuration_watcher.cpp
@@ -1,6 +1,7 @@
 #include "gypsumhub/gateway/configuration_watcher.h"
 
 #include "gypsumhub/core/clock.h"
+#include "gypsumhub/core/store_position.h"
 #include "gypsumhub/platform/configuration_document.h"
 #include "gypsumhub/platform/wire_names.h"
 
@@ -134,7 +135,7 @@
             if (table->version() <= known)
                 return {};
             m_access.context().log.write(log_class::Notable, "configuration_taken",
-                { { "version", table->version() }, { "before", known }, { "revision", entry.modRevision }, { "routes", table->routes().size() } });
+                { { "version", table->version() }, { "before", known }, { "revision", revisionOf(entry.modRevision) }, { "routes", table->routes().size() } });
             m_access.context().routes = table;
             m_entry = entry;
             m_onProgress();
@@ -142,10 +143,10 @@
         },
         [&](const fault_list& faults) {
             m_access.context().log.write(log_class::Notable, "configuration_refused",
-                { { "key", entry.key }, { "revision", entry.modRevision }, { "reason", joinMessages(faults) }, { "in_force", known } });
+                { { "key", entry.key }, { "revision", revisionOf(entry.modRevision) }, { "reason", joinMessages(faults) }, { "in_force", known } });
         },
         [&] {
-            m_access.context().log.write(log_class::Notable, "configuration_refused", { { "key", entry.key }, { "revision", entry.modRevision }, { "in_force", known } });
+            m_access.context().log.write(log_class::Notable, "configuration_refused", { { "key", entry.key }, { "revision", revisionOf(entry.modRevision) }, { "in_force", known } });
         });
 }
 
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -66,7 +66,7 @@
     registration_view view;
     poison_request_detector poisonRequests;
     /// The era that the store named last; 0 before its first answer.
-    uint64_t storeEra { 0 };
+    uint16_t storeEra { 0 };
     /// When the view was last known to match the store.
     time_point viewConfirmedAt {};
     /// Before the members that hold connections.
--- a/gypsumhub/gateway/node_watcher.cpp
+++ b/gypsumhub/gateway/node_watcher.cpp
@@ -3,6 +3,7 @@
 #include "gypsumhub/config/section_reader.h"
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/core/hash.h"
+#include "gypsumhub/core/store_position.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -123,6 +124,11 @@
     return std::string(prefix) + m_access.context().settings.dataCentre + "/";
 }
 
+auto node_watcher::ownKey() const -> std::string
+{
+    return ownDataCentrePrefix() + m_access.context().settings.name;
+}
+
 auto node_watcher::readOwnDataCentre() -> task<>
 {
     while (m_entries.empty()) {
@@ -201,12 +207,16 @@
 auto node_watcher::applyEntry(const store_entry& entry) -> void
 {
     auto [known, isNew] = m_entries.try_emplace(entry.key);
-    m_digest += digestOf(entry) - (isNew ? 0 : digestOf(known->second));
-    known->second = entry;
+    // The same write, read again after the store was restored, keeps its position, so that it still equals the copies of other nodes.
+    auto isSameWrite = !isNew && revisionOf(known->second.modRevision) == revisionOf(entry.modRevision) && known->second.value == entry.value;
+    if (!isSameWrite) {
+        m_digest += digestOf(entry) - (isNew ? 0 : digestOf(known->second));
+        known->second = entry;
+    }
     if (auto node = parseNode(entry))
         m_access.context().memberView.recordRegistration(*node);
     else
-        m_access.context().log.write(log_class::Notable, "node_refused", { { "key", entry.key }, { "revision", entry.modRevision } });
+        m_access.context().log.write(log_class::Notable, "node_refused", { { "key", entry.key }, { "revision", revisionOf(entry.modRevision) } });
 }
 
 auto node_watcher::applyListing(const key_listing& listing) -> void
@@ -230,16 +240,19 @@
             auto granted = co_await m_access.store().grantLease(std::max(leaseTtl, m_access.context().settings.shortestLease), bootClockNow() + storeCallTimeout);
             if (m_access.recordCall("lease", granted.status))
                 m_lease = granted.value;
+            m_leaseEra = m_access.store().era();
             isRegistered = false;
         }
         if (m_lease != 0 && !isRegistered) {
-            auto key = ownDataCentrePrefix() + m_access.context().settings.name;
+            auto key = ownKey();
             m_access.context().memberView.setStoreDelay(m_access.store().minCallDelay());
             auto status = co_await m_access.store().put(std::move(key), formatNode(m_access.context().memberView.own()), m_lease, bootClockNow() + storeCallTimeout);
             isRegistered = m_access.recordCall("registration", status);
             m_hasRegistered |= isRegistered;
-            if (status == keyspace_status::LeaseExpired)
+            if (status == keyspace_status::LeaseExpired || m_leaseEra != m_access.store().era()) {
                 m_lease = 0;
+                isRegistered = false;
+            }
         }
         if (!isRegistered) {
             co_await m_access.backOff();
@@ -248,14 +261,29 @@
         co_await m_access.pause(leaseRenewalInterval);
         auto status = co_await m_access.store().renewLease(m_lease, bootClockNow() + storeCallTimeout);
         m_access.recordCall("renewal", status);
-        if (status == keyspace_status::LeaseExpired)
+        auto isOwn = true;
+        if (status == keyspace_status::Ok && m_leaseEra != m_access.store().era())
+            isOwn = co_await confirmLease();
+        if (status == keyspace_status::LeaseExpired || !isOwn)
             m_lease = 0;
     }
 }
 
+auto node_watcher::confirmLease() -> task<bool>
+{
+    auto era = m_access.store().era();
+    auto holder = co_await m_access.store().leaseOf(ownKey(), bootClockNow() + storeCallTimeout);
+    if (!m_access.recordCall("lease_check", holder.status) || era != m_access.store().era())
+        co_return true;
+    if (holder.value == m_lease)
+        m_leaseEra = era;
+    co_return holder.value == m_lease;
+}
+
 auto node_watcher::unregister() -> void
 {
-    if (m_lease == 0)
+    // A lease of an earlier era may be another node's by now.
+    if (m_lease == 0 || m_leaseEra != m_access.store().era())
         return;
     asio::co_spawn(
         m_access.context().io.get_executor(),
--- a/gypsumhub/gateway/node_watcher.h
+++ b/gypsumhub/gateway/node_watcher.h
@@ -36,10 +36,14 @@
     /// Lists the registrations from the store. Returns the revision of the listing, or 0 when the call fails.
     auto read() -> task<uint64_t>;
     auto ownDataCentrePrefix() const -> std::string;
+    auto ownKey() const -> std::string;
     /// Lists the registrations from the node `from`, or from the store when that node does not answer.
     auto catchUp(std::string from) -> task<>;
     /// Writes this node's registration with a lease, and renews the lease until the shutdown.
     auto keepRegistration() -> task<>;
+    /// Checks, after the store was restored, whether the lease still holds this node's registration: its number may have been given to
+    /// another node. Also true when the store does not answer; the next renewal checks again.
+    auto confirmLease() -> task<bool>;
     auto applyEntry(const store_entry&) -> void;
     auto bucketDigests() const -> bucket_digests;
     auto applyListing(const key_listing&) -> void;
@@ -47,6 +51,8 @@
 
     store_access& m_access;
     uint64_t m_lease { 0 };
+    /// The era of the store in which the lease is known to be this node's.
+    uint16_t m_leaseEra { 0 };
     persistent_mismatch m_mismatch;
     bool m_isCatchingUp { false };
     bool m_hasRegistered { false };
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -1,6 +1,7 @@
 #include "gypsumhub/gateway/request_handler.h"
 
 #include "gypsumhub/core/clock.h"
+#include "gypsumhub/core/store_position.h"
 #include "gypsumhub/decision/selection/start_hold.h"
 #include "gypsumhub/gateway/outbound_head.h"
 #include "gypsumhub/gateway/request_identity.h"
@@ -367,7 +368,7 @@
     auto now = bootClockNow();
     m_log.recordPlacement({ { "route", m_route->name }, { "routes_version", m_routes->version() }, { "target", target.registration.id },
         { "data_centre", target.registration.dataCentre },
-        { "target_revision", target.registration.revision }, { "attempt", m_sent + 1 }, { "waited_ms", (now - m_arrivedAt).milliseconds() },
+        { "target_revision", revisionOf(target.registration.revision) }, { "attempt", m_sent + 1 }, { "waited_ms", (now - m_arrivedAt).milliseconds() },
         { "probability_bad", probabilityBad }, { "evidence_age_ms", (now - target.health.lastEvidenceAt()).milliseconds() },
         { "in_flight", target.inFlight }, { "waiting", m_dispatcher->waiting() } });
 }
--- a/gypsumhub/gateway/target_watcher.cpp
+++ b/gypsumhub/gateway/target_watcher.cpp
@@ -1,6 +1,7 @@
 #include "gypsumhub/gateway/target_watcher.h"
 
 #include "gypsumhub/core/clock.h"
+#include "gypsumhub/core/store_position.h"
 #include "gypsumhub/decision/selection/watch_timing.h"
 #include "gypsumhub/platform/registration_document.h"
 #include "gypsumhub/platform/wire_names.h"
@@ -143,11 +144,11 @@
             return std::optional(read);
         },
         [&](const fault_list& faults) -> std::optional<target_registration> {
-            m_access.context().log.write(log_class::Notable, "registration_refused", { { "key", entry.key }, { "revision", entry.modRevision }, { "reason", joinMessages(faults) } });
+            m_access.context().log.write(log_class::Notable, "registration_refused", { { "key", entry.key }, { "revision", revisionOf(entry.modRevision) }, { "reason", joinMessages(faults) } });
             return std::nullopt;
         },
         [&]() -> std::optional<target_registration> {
-            m_access.context().log.write(log_class::Notable, "registration_refused", { { "key", entry.key }, { "revision", entry.modRevision } });
+            m_access.context().log.write(log_class::Notable, "registration_refused", { { "key", entry.key }, { "revision", revisionOf(entry.modRevision) } });
             return std::nullopt;
         });
 }
@@ -159,7 +160,7 @@
     if (known == entries.end() || known->second.revision <= read.revision)
         return;
     ++m_access.context().counters.lateRegistrations;
-    m_access.context().log.write(log_class::Notable, "registration_late", { { "target", read.id }, { "revision", read.revision }, { "known_revision", known->second.revision } });
+    m_access.context().log.write(log_class::Notable, "registration_late", { { "target", read.id }, { "revision", revisionOf(read.revision) }, { "known_revision", revisionOf(known->second.revision) } });
 }
 
 auto target_watcher::apply(std::span<const view_change> changes) -> void
@@ -175,7 +176,7 @@
         auto what = change.isRemoval ? "target_removed" : entry.isDraining ? "target_draining"
                                                                            : "target_registered";
         m_access.context().log.write(log_class::Notable, what,
-            { { "target", entry.id }, { "service", entry.service }, { "revision", entry.revision }, { "incarnation", entry.incarnation } });
+            { { "target", entry.id }, { "service", entry.service }, { "era", eraOf(entry.revision) }, { "revision", revisionOf(entry.revision) }, { "incarnation", entry.incarnation } });
         m_access.context().dispatcher(entry.service).dispatchWaiting();
     }
 }
@@ -203,6 +204,8 @@
 
 auto target_watcher::tick() -> void
 {
+    if (m_access.context().view.takeListingDue(bootClockNow()))
+        m_needsListing = true;
     auto changes = m_access.context().view.takeDueRemovals(bootClockNow());
     if (changes.empty())
         return;
--- a/gypsumhub/platform/kv_client.cpp
+++ b/gypsumhub/platform/kv_client.cpp
@@ -3,6 +3,7 @@
 #include "gypsumhub/config/section_reader.h"
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/core/deadline_timer.h"
+#include "gypsumhub/core/store_position.h"
 #include "gypsumhub/platform/wire_names.h"
 #include "gypsumhub/store/base64.h"
 
@@ -51,9 +52,9 @@
         return value && value->is_string() ? std::string(value->as_string()) : std::string {};
     }
 
-    auto entryOf(const json::object& item) -> store_entry
+    auto entryOf(const json::object& item, uint16_t era) -> store_entry
     {
-        return { textAt(item, "key"), fromBase64(textAt(item, "value")).value_or(std::string {}), numberAt(item, "rev") };
+        return { textAt(item, "key"), fromBase64(textAt(item, "value")).value_or(std::string {}), storePosition(era, numberAt(item, "rev")) };
     }
 
     auto escapeQuery(std::string_view text) -> std::string
@@ -71,13 +72,13 @@
         return escaped;
     }
 
-    // 0 for a node, which names no era.
-    auto eraOf(const http::fields& head) -> uint64_t
+    // Nullopt for the answer of a node, whose revisions are positions already.
+    auto statedEra(const http::fields& head) -> std::optional<uint16_t>
     {
         auto text = head[wire_names::storeEra];
-        auto era = uint64_t { 0 };
+        auto era = uint16_t { 0 };
         auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), era);
-        return error == std::errc {} && end == text.data() + text.size() ? era : 0;
+        return error == std::errc {} && end == text.data() + text.size() ? std::optional(era) : std::nullopt;
     }
 
     auto arrayAt(const json::value& body, std::string_view name) -> const json::array*
@@ -156,7 +157,12 @@
     auto result = reply { statusOf(parser.get().result_int()), json::parse(parser.get().body(), parseError) };
     if (parseError && result.status == keyspace_status::Ok && !parser.get().body().empty())
         result.status = keyspace_status::Refused;
-    m_era = std::max(m_era, eraOf(parser.get()));
+    auto era = statedEra(parser.get()).value_or(m_era);
+    // What the store said before it was restored may not be true any more.
+    if (era < m_era)
+        co_return reply {};
+    m_era = era;
+    result.era = era;
     used->idleSince = bootClockNow();
     if (!isWatch && result.status == keyspace_status::Ok)
         m_minCallDelay = std::min(m_minCallDelay, used->idleSince - calledAt);
@@ -181,6 +187,7 @@
 {
     auto result = keyspace_result<key_listing> { keyspace_status::Ok };
     auto after = std::string {};
+    auto firstEra = std::optional<uint16_t> {};
     for (auto hasMore = true; hasMore;) {
         auto path = firstPath;
         if (!after.empty())
@@ -191,12 +198,16 @@
             co_return keyspace_result<key_listing> { page.status == keyspace_status::Ok ? keyspace_status::Refused : page.status };
         for (auto& item : *items) {
             if (item.is_object())
-                result.value.entries.push_back(entryOf(item.as_object()));
+                result.value.entries.push_back(entryOf(item.as_object(), page.era));
         }
         auto& body = page.body.as_object();
+        auto position = storePosition(page.era, numberAt(body, "store_revision"));
         // Later pages may be newer. Watching from the revision of the first page delivers everything that changed since then.
         if (result.value.revision == 0)
-            result.value.revision = numberAt(body, "store_revision");
+            result.value.revision = position;
+        if (page.era != firstEra.value_or(page.era))
+            co_return keyspace_result<key_listing> { keyspace_status::Refused };
+        firstEra = page.era;
         if (auto buckets = parseBuckets(textAt(body, "buckets")))
             result.value.buckets = *buckets;
         auto* more = body.if_contains("has_more");
@@ -231,12 +242,17 @@
 auto kv_client::follow(std::string prefix, uint64_t revision, time_point waitUntil) -> task<keyspace_result<key_changes>>
 {
     auto wait = std::max<int64_t>((waitUntil - bootClockNow()).milliseconds(), 1);
-    auto path = std::string(watchPath) + "?prefix=" + escapeQuery(prefix) + "&after=" + std::to_string(revision) + "&wait_ms=" + std::to_string(wait);
+    auto path = std::string(watchPath) + "?prefix=" + escapeQuery(prefix) + "&after=" + std::to_string(revisionOf(revision)) + "&wait_ms=" + std::to_string(wait);
     auto answer = co_await call(http::verb::get, std::move(path), {}, waitUntil + watchGrace);
     auto result = keyspace_result<key_changes> { answer.status };
     auto* events = arrayAt(answer.body, "events");
     if (answer.status != keyspace_status::Ok)
         co_return result;
+    // New writes of a restored store may have passed the old position, so that the store finds nothing wrong with it.
+    if (answer.era != eraOf(revision)) {
+        result.status = keyspace_status::HistoryCompacted;
+        co_return result;
+    }
     if (!events) {
         result.status = keyspace_status::Refused;
         co_return result;
@@ -245,9 +261,9 @@
         if (!event.is_object())
             continue;
         auto* removed = event.as_object().if_contains("deleted");
-        result.value.changes.push_back({ entryOf(event.as_object()), removed && removed->is_bool() && removed->as_bool() });
+        result.value.changes.push_back({ entryOf(event.as_object(), answer.era), removed && removed->is_bool() && removed->as_bool() });
     }
-    result.value.revision = std::max(numberAt(answer.body.as_object(), "store_revision"), revision);
+    result.value.revision = std::max(storePosition(answer.era, numberAt(answer.body.as_object(), "store_revision")), revision);
     co_return result;
 }
 
@@ -281,4 +297,16 @@
     co_return answer.status;
 }
 
+auto kv_client::leaseOf(std::string key, time_point deadline) -> task<keyspace_result<uint64_t>>
+{
+    auto answer = co_await call(http::verb::get, "/gypsumhub/kv-key?key=" + escapeQuery(key), {}, deadline);
+    auto* item = answer.body.if_object();
+    // 404: the key is absent.
+    if (answer.status == keyspace_status::LeaseExpired)
+        co_return keyspace_result<uint64_t> { keyspace_status::Ok, 0 };
+    if (answer.status != keyspace_status::Ok || !item)
+        co_return keyspace_result<uint64_t> { answer.status == keyspace_status::Ok ? keyspace_status::Refused : answer.status };
+    co_return keyspace_result<uint64_t> { keyspace_status::Ok, numberAt(*item, "lease") };
+}
+
 } // namespace gypsumhub
--- a/gypsumhub/platform/kv_client.h
+++ b/gypsumhub/platform/kv_client.h
@@ -24,18 +24,20 @@
     auto renewLease(uint64_t lease, time_point deadline) -> task<keyspace_status> override;
     auto endLease(uint64_t lease, time_point deadline) -> task<keyspace_status> override;
     auto put(std::string key, std::string value, uint64_t lease, time_point deadline) -> task<keyspace_status> override;
+    auto leaseOf(std::string key, time_point deadline) -> task<keyspace_result<uint64_t>> override;
 
-    auto era() const -> uint64_t override { return m_era; }
+    auto era() const -> uint16_t override { return m_era; }
     auto minCallDelay() const -> duration override { return m_minCallDelay; }
     /// Number of calls since construction.
     auto callCount() const -> uint64_t { return m_calls; }
 
 private:
     struct connection;
-    /// The status of a call and the parsed JSON body of its answer.
+    /// The status of a call, the parsed JSON body of its answer, and the era of the store that gave it.
     struct reply {
         keyspace_status status { keyspace_status::Unanswered };
         boost::json::value body;
+        uint16_t era { 0 };
     };
 
     auto listPages(std::string path, time_point deadline) -> task<keyspace_result<key_listing>>;
@@ -47,7 +49,7 @@
     /// Idle connections, kept open for later calls. A connection whose call failed is not reused.
     std::vector<std::unique_ptr<connection>> m_idle;
     uint64_t m_calls { 0 };
-    uint64_t m_era { 0 };
+    uint16_t m_era { 0 };
     duration m_minCallDelay { seconds(10) };
 };
 
--- a/gypsumhub/store/keyspace.h
+++ b/gypsumhub/store/keyspace.h
@@ -69,14 +69,17 @@
     virtual ~keyspace() = default;
 
     virtual auto list(std::string prefix, time_point deadline) -> task<keyspace_result<key_listing>> = 0;
-    /// Waits for changes after `revision`, at most until `waitUntil`.
+    /// Waits for changes after `revision`, at most until `waitUntil`. Revisions are positions (core/store_position.h); one of an earlier
+    /// era counts as compacted.
     virtual auto follow(std::string prefix, uint64_t revision, time_point waitUntil) -> task<keyspace_result<key_changes>> = 0;
     /// Creates a lease with the given time to live and returns its number.
     virtual auto grantLease(duration ttl, time_point deadline) -> task<keyspace_result<uint64_t>> = 0;
     virtual auto renewLease(uint64_t lease, time_point deadline) -> task<keyspace_status> = 0;
     virtual auto endLease(uint64_t lease, time_point deadline) -> task<keyspace_status> = 0;
+    /// The lease that a key is attached to; 0 when the key is absent or has none.
+    virtual auto leaseOf(std::string key, time_point deadline) -> task<keyspace_result<uint64_t>> = 0;
     /// The highest era that the store named so far. It rises when the store comes back from an older copy, and its revisions go back.
-    virtual auto era() const -> uint64_t = 0;
+    virtual auto era() const -> uint16_t = 0;
     /// The shortest measured duration of a call that the store answers without waiting.
     virtual auto minCallDelay() const -> duration = 0;
     /// Writes a key that the store removes when the lease ends.
--- a/unit_tests/gateway/restored_store_test.cpp
+++ b/unit_tests/gateway/restored_store_test.cpp
@@ -9,6 +9,8 @@
 
 // From the store's acknowledgement of a change until no request may reach a leaving target.
 constexpr auto drainLimit = std::chrono::milliseconds(2'000);
+// From the store's acknowledgement of a configuration until it must be in force.
+constexpr auto configurationLimit = std::chrono::milliseconds(2'000);
 constexpr auto nodeCount = 2;
 
 // Registrations that make the store's revision rise, but affect no routing.
@@ -72,6 +74,20 @@
     CHECK(runsDuringRequests(fleet, 2) > 0);
 }
 
+TEST_CASE("a configuration that is written after the store was restored comes into force when a watch's position was passed")
+{
+    auto fleet = gateway_fixture {};
+    fleet.store.saveCopy();
+    raiseRevision(fleet, 3);
+    waitUntilKnown();
+    fleet.store.restoreCopy();
+    fleet.configure(2, "empty");
+    raiseRevision(fleet, 20);
+    std::this_thread::sleep_for(configurationLimit);
+    for (auto node = 0; node < nodeCount; ++node)
+        CHECK(sendRequest(gateway_fixture::callerAddress(node), http::verb::get, "/safe/", "c").status == 503);
+}
+
 TEST_CASE("what an older copy of the store says about targets and configuration does not come back")
 {
     auto fleet = gateway_fixture {};
