--- a/unit_tests/gateway/target_limit_test.cpp
+++ b/unit_tests/gateway/target_limit_test.cpp
@@ -98,6 +98,21 @@
     return static_cast<int64_t>(1.5 * limit * window.seconds() + 5);
 }
 
+// The index of the node that issues the permits of a target while all nodes are available.
+auto issuerOf(const std::string& target, int nodes) -> int
+{
+    auto view = membership_view({ "n1", "a1", {}, {} });
+    view.setOwnState(true, false);
+    for (auto node = 2; node <= nodes; ++node) {
+        auto hello = node_hello {};
+        hello.name = "n" + std::to_string(node);
+        hello.isReady = true;
+        view.recordRegistration({ hello.name, "a1", {}, {} });
+        view.recordHello(hello, time_point {});
+    }
+    return std::stoi(view.permitIssuers(target, "a1", time_point {}).front().substr(1)) - 1;
+}
+
 auto startMoreNodes(gateway_fixture& fleet, int total) -> void
 {
     for (auto index = 2; index < total; ++index)
@@ -165,3 +180,33 @@
         CHECK(load.lateRefusals() * 10 <= load.refused());
     }
 }
+
+TEST_CASE("a limit holds and is used again while the node that issues the permits is suspended, stops and is replaced")
+{
+    constexpr auto nodeCount = 6;
+    constexpr auto loadedNodes = 2;
+    auto fleet = gateway_fixture(stopLimit, 3);
+    startMoreNodes(fleet, nodeCount);
+    auto index = 0;
+    while (issuerOf(gateway_fixture::targetId(index), nodeCount) < loadedNodes)
+        REQUIRE(++index < 3);
+    auto issuer = issuerOf(gateway_fixture::targetId(index), nodeCount);
+    auto load = steady_load(loadedNodes, 60);
+    for (auto& target : fleet.targets)
+        target->setStatedLimit("5");
+    auto& limited = *fleet.targets[static_cast<size_t>(index)];
+    auto statedAt = bootClockNow();
+    sleepFor(5'000);
+    fleet.pauseNode(issuer, std::chrono::milliseconds(1'800));
+    sleepFor(5'000);
+    fleet.nodes[static_cast<size_t>(issuer)]->requestStop();
+    sleepFor(2'000);
+    fleet.startNode(nodeCount);
+    sleepFor(3'000);
+    CHECK(mostInWindow(limited, statedAt + contactTime) <= allowedInWindow(5));
+    // The new issuer has taken over within 3 s of the stop.
+    auto settledAt = bootClockNow();
+    sleepFor(4'000);
+    CHECK(mostInWindow(limited, statedAt + contactTime) <= allowedInWindow(5));
+    CHECK(static_cast<double>(arrivalsSince(limited, settledAt)) >= 0.9 * 5 * 4);
+}
