--- a/gypsumhub/decision/selection/membership_view.cpp
+++ b/gypsumhub/decision/selection/membership_view.cpp
@@ -116,29 +116,34 @@
     return isActive(other, now);
 }
 
-auto membership_view::group(std::string_view host, std::string_view dataCentre, const group_requirement& required, time_point now) const -> std::vector<endpoint>
+auto membership_view::availableNodes(std::string_view dataCentre, time_point now) const -> std::vector<const node_registration*>
 {
-    struct candidate {
-        bool isSmall;
-        uint64_t rank;
-        const node_registration* node;
-    };
-    auto hostHash = hashName(host);
-    auto candidates = std::vector<candidate> {};
+    auto nodes = std::vector<const node_registration*> {};
     auto collect = [&](auto&& accept) {
-        auto add = [&](const node_registration& node) {
-            candidates.push_back({ !node.size.covers(required.size), mixHashes(hostHash, hashName(node.name)), &node });
-        };
         if (m_isReady && !m_isLeaving && accept(m_own))
-            add(m_own);
+            nodes.push_back(&m_own);
         for (auto& [name, other] : m_nodes) {
             if (accept(other.registration) && isAvailable(other, now))
-                add(other.registration);
+                nodes.push_back(&other.registration);
         }
     };
     collect([&](const node_registration& node) { return node.dataCentre == dataCentre; });
-    if (candidates.empty())
+    if (nodes.empty())
         collect([](const node_registration&) { return true; });
+    return nodes;
+}
+
+auto membership_view::group(std::string_view host, std::string_view dataCentre, const group_requirement& required, time_point now) const -> std::vector<endpoint>
+{
+    struct candidate {
+        bool isSmall;
+        uint64_t rank;
+        const node_registration* node;
+    };
+    auto hostHash = hashName(host);
+    auto candidates = std::vector<candidate> {};
+    for (auto* node : availableNodes(dataCentre, now))
+        candidates.push_back({ !node->size.covers(required.size), mixHashes(hostHash, hashName(node->name)), node });
     std::ranges::sort(candidates, {}, [](auto& entry) { return std::tuple(entry.isSmall, entry.rank); });
     auto needed = required.size;
     if (dataCentre == m_own.dataCentre) {
@@ -302,19 +307,10 @@
 
 auto membership_view::permitIssuers(std::string_view target, std::string_view dataCentre, time_point now) const -> std::vector<std::string>
 {
+    auto targetHash = hashName(target);
     auto candidates = std::vector<std::pair<uint64_t, std::string_view>> {};
-    auto collect = [&](auto&& accept) {
-        auto add = [&](const node_registration& node) { candidates.emplace_back(mixHashes(hashName(target), hashName(node.name)), node.name); };
-        if (m_isReady && !m_isLeaving && accept(m_own))
-            add(m_own);
-        for (auto& [name, other] : m_nodes) {
-            if (accept(other.registration) && isAvailable(other, now))
-                add(other.registration);
-        }
-    };
-    collect([&](const node_registration& node) { return node.dataCentre == dataCentre; });
-    if (candidates.empty())
-        collect([](const node_registration&) { return true; });
+    for (auto* node : availableNodes(dataCentre, now))
+        candidates.emplace_back(mixHashes(targetHash, hashName(node->name)), node->name);
     auto count = std::min(candidates.size(), maxPermitIssuers);
     std::ranges::partial_sort(candidates, candidates.begin() + static_cast<std::ptrdiff_t>(count));
     auto names = std::vector<std::string> {};
--- a/gypsumhub/decision/selection/membership_view.h
+++ b/gypsumhub/decision/selection/membership_view.h
@@ -116,6 +116,8 @@
 
     /// Whether the node can serve callers: for a node of the own data centre `isActive`, for others their registration alone.
     auto isAvailable(const node&, time_point now) const -> bool;
+    /// The available nodes of a data centre, this one included, or those of all others when it has none.
+    auto availableNodes(std::string_view dataCentre, time_point now) const -> std::vector<const node_registration*>;
     /// The size of the nodes that the callers of a host need together, by the recent hellos of this data centre.
     auto demandedSize(std::string_view host, time_point now) const -> node_size;
     /// Whether a recent hello of the node reports it as ready and not leaving.
--- a/gypsumhub/decision/selection/permit_issuer.cpp
+++ b/gypsumhub/decision/selection/permit_issuer.cpp
@@ -48,7 +48,7 @@
     used.tokens -= granted.count;
     if (granted.count == request.count)
         return granted;
-    // Askers that are denied are told successive times, so that each finds a permit when it asks again, and no more ask than there are permits.
+    // Denied nodes receive successive times, so that each finds a permit when it asks again, and requests follow the rate of permits.
     auto untilNext = toDuration((1 - used.tokens) / used.rate) + std::max(used.filledAt - now, duration {});
     auto retryAt = std::max(now + untilNext, used.latestRetryAt + toDuration(1 / used.rate));
     used.latestRetryAt = std::min(retryAt, now + untilNext + maxContentionWait);
--- a/gypsumhub/decision/selection/permit_issuer.h
+++ b/gypsumhub/decision/selection/permit_issuer.h
@@ -24,9 +24,9 @@
 
     /// From becoming the issuer until the first permit: longer than it takes until the other nodes notice a change of the issuer.
     static constexpr auto handoverTime = milliseconds(1500);
-    /// A target whose limit is lower receives requests at this rate, since only its answers tell that the limit has changed.
+    /// A target whose limit is lower receives requests at this rate, since only its answers show that the limit has changed.
     static constexpr auto minRatePerSecond = 0.2;
-    /// Askers that are denied wait for the permits of those before them, up to this time longer than for the next permit.
+    /// Denied nodes wait for the permits of those before them, up to this time longer than for the next permit.
     static constexpr auto maxContentionWait = milliseconds(2000);
 
 private:
@@ -36,7 +36,7 @@
         double tokens { 0 };
         /// The bucket fills from then on. In the future during a handover.
         time_point filledAt;
-        /// The latest time at which an asker was told to ask again.
+        /// The latest time that a denied node received to ask again.
         time_point latestRetryAt {};
     };
 
--- a/gypsumhub/gateway/limit_watcher.cpp
+++ b/gypsumhub/gateway/limit_watcher.cpp
@@ -3,7 +3,6 @@
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/platform/stated_rate.h"
 
-#include <array>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -178,7 +177,7 @@
         return;
     }
     auto* limit = m_context.balancer.limits().latest(target);
-    // Null when the request says that a limit has ended which this node does not know.
+    // Null when the request reports the end of a limit that this node never received.
     auto granted = permit_grant { limit ? *limit : request.limit, request.ticket, 0, {} };
     if (limit && limit->requestsPerSecond) {
         granted = m_issuer.grant(request, *limit, now);
--- a/gypsumhub/platform/stated_rate.h
+++ b/gypsumhub/platform/stated_rate.h
@@ -6,7 +6,7 @@
 
 namespace gypsumhub {
 
-/// What an answer of a target says about the rate that the target accepts.
+/// The request rate that an answer of a target states.
 struct stated_rate {
     enum class field_state : uint8_t {
         /// The target states no limit.
