--- a/gypsumhub/decision/selection/registration_view.cpp
+++ b/gypsumhub/decision/selection/registration_view.cpp
@@ -13,7 +13,7 @@
 
     // Live targets have registered again about 2 s after the store has recovered.
     constexpr auto reregistrationTime = milliseconds(2200);
-    // The store has removed the restored entries of targets that had left: it does so after three missing heartbeats.
+    // Until then the store has removed the restored entries of targets that had left, after three missing heartbeats.
     constexpr auto outdatedEntryTime = milliseconds(10'000);
     constexpr auto maxTombstones = size_t { 4096 };
 
--- a/gypsumhub/decision/selection/registration_view.h
+++ b/gypsumhub/decision/selection/registration_view.h
@@ -33,7 +33,7 @@
 /// store decides this. A removal received from another node is applied at once, because an outage between this node and the store
 /// does not mean that the reader has one.
 ///
-/// A store that comes back from an older copy says what was true earlier, until the targets have written again. For a while, its
+/// A store that comes back from an older copy holds an earlier state until the targets have written again. For a while, its
 /// listings therefore neither remove entries nor bring back what is known to have changed; changes made after the return count at once.
 class registration_view {
 public:
@@ -69,7 +69,7 @@
     auto removeOrHold(std::string_view id, uint64_t revision, time_point holdUntil, time_point now) -> std::optional<view_change>;
     /// Notices a listing of the store in a new era.
     auto recordEra(uint64_t revision, time_point now) -> void;
-    /// Whether an entry of a listing in a new era says what was true before the known entry or removal.
+    /// Whether an entry of a listing in a new era is the state before the known entry or removal.
     auto isOutdated(const target_registration&) const -> bool;
 
     std::map<std::string, target_registration, std::less<>> m_entries;
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -65,7 +65,7 @@
     membership_view memberView;
     registration_view view;
     poison_request_detector poisonRequests;
-    /// The era that the store named last; 0 before its first answer.
+    /// The era in the latest answer of the store; 0 before the first one.
     uint16_t storeEra { 0 };
     /// When the view was last known to match the store.
     time_point viewConfirmedAt {};
--- a/gypsumhub/gateway/gateway_metrics.cpp
+++ b/gypsumhub/gateway/gateway_metrics.cpp
@@ -43,7 +43,7 @@
     for (auto& row : histograms)
         addHistogram(metrics, row, context.counters.*row.value);
     metrics.addCounter("store_calls_total", "Calls to the store.", static_cast<double>(storeCalls));
-    metrics.addGauge("store_era", "How often the store came back from an older copy, as it says.", static_cast<double>(context.storeEra));
+    metrics.addGauge("store_era", "Era of the store; rises when it comes back from an older copy.", static_cast<double>(context.storeEra));
     for (auto& [purpose, count] : context.counters.storeCalls)
         metrics.addCounter("store_calls_by_purpose_total", "Calls to the store; a listing in several pages counts once.", static_cast<double>(count), { { "purpose", purpose } });
     for (auto& [prefix, count] : context.counters.peerListings)
--- a/gypsumhub/platform/kv_client.cpp
+++ b/gypsumhub/platform/kv_client.cpp
@@ -158,7 +158,7 @@
     if (parseError && result.status == keyspace_status::Ok && !parser.get().body().empty())
         result.status = keyspace_status::Refused;
     auto era = statedEra(parser.get()).value_or(m_era);
-    // What the store said before it was restored may not be true any more.
+    // The answer was given before the store was restored, and may not hold any more.
     if (era < m_era)
         co_return reply {};
     m_era = era;
