--- a/gypsumhub/decision/selection/known_limits.cpp
+++ b/gypsumhub/decision/selection/known_limits.cpp
@@ -20,40 +20,56 @@
         if (!stated.requestsPerSecond)
             return false;
         if (m_limits.size() == maxTargets)
-            m_limits.erase(std::ranges::min_element(m_limits, {}, [](auto& entry) { return entry.second.statedAt; }));
-        m_limits.emplace(stated.target, stated);
+            m_limits.erase(std::ranges::min_element(m_limits, {}, [](auto& entry) { return entry.second.limit.statedAt; }));
+        m_limits.emplace(stated.target, known_limit { stated, stated.statedAt });
         return true;
     }
-    auto& known = found->second;
-    if (stated.statedAt <= known.statedAt)
+    auto& [limit, confirmedAt] = found->second;
+    if (stated.statedAt <= limit.statedAt)
         return false;
-    auto isChanged = stated.incarnation != known.incarnation || stated.requestsPerSecond != known.requestsPerSecond;
-    known = stated;
+    auto isChanged = stated.incarnation != limit.incarnation || stated.requestsPerSecond != limit.requestsPerSecond;
+    limit = stated;
+    if (isChanged)
+        confirmedAt = stated.statedAt;
+    return isChanged;
+}
+
+auto known_limits::recordAnswer(const target_limit& stated, time_point sentAt) -> bool
+{
+    auto found = m_limits.find(stated.target);
+    if (found == m_limits.end())
+        return record(stated);
+    auto& [limit, confirmedAt] = found->second;
+    auto isLimited = limit.incarnation == stated.incarnation && limit.requestsPerSecond;
+    auto allowsMore = isLimited && (!stated.requestsPerSecond || *stated.requestsPerSecond > *limit.requestsPerSecond);
+    if (allowsMore && sentAt <= confirmedAt)
+        return false;
+    auto isChanged = record(stated);
+    confirmedAt = stated.statedAt;
     return isChanged;
 }
 
 auto known_limits::find(std::string_view target, uint64_t incarnation) const -> const target_limit*
 {
-    auto found = m_limits.find(target);
-    auto holds = found != m_limits.end() && found->second.incarnation == incarnation && found->second.requestsPerSecond;
-    return holds ? &found->second : nullptr;
+    auto* known = latest(target);
+    return known && known->incarnation == incarnation && known->requestsPerSecond ? known : nullptr;
 }
 
 auto known_limits::latest(std::string_view target) const -> const target_limit*
 {
     auto found = m_limits.find(target);
-    return found == m_limits.end() ? nullptr : &found->second;
+    return found == m_limits.end() ? nullptr : &found->second.limit;
 }
 
 auto known_limits::count() const -> size_t
 {
-    return static_cast<size_t>(std::ranges::count_if(m_limits, [](auto& entry) { return entry.second.requestsPerSecond.has_value(); }));
+    return static_cast<size_t>(std::ranges::count_if(m_limits, [](auto& entry) { return entry.second.limit.requestsPerSecond.has_value(); }));
 }
 
 auto known_limits::prune(time_point now) -> void
 {
     std::erase_if(m_limits, [&](auto& entry) {
-        auto& [target, limit] = entry;
+        auto& limit = entry.second.limit;
         return now > limit.statedAt + (limit.requestsPerSecond ? limitRetention : liftedRetention);
     });
 }
--- a/gypsumhub/decision/selection/known_limits.h
+++ b/gypsumhub/decision/selection/known_limits.h
@@ -13,6 +13,9 @@
 public:
     /// Records what a target stated. Returns whether it has changed: a limit that is new, another one, or none any more.
     auto record(const target_limit&) -> bool;
+    /// Records what a target stated in its answer to a request that this node sent at `sentAt`. Of answers that may have overtaken each
+    /// other, the one that allows least counts: one that allows more must answer a request sent after the known limit was stated.
+    auto recordAnswer(const target_limit&, time_point sentAt) -> bool;
     /// The limit that holds for the target, or null when there is none.
     auto find(std::string_view target, uint64_t incarnation) const -> const target_limit*;
     /// What the target stated last, also that it has no limit any more. Null when it never stated one.
@@ -28,7 +31,14 @@
     static constexpr auto maxTargets = size_t { 4096 };
 
 private:
-    std::map<std::string, target_limit, std::less<>> m_limits;
+    struct known_limit {
+        target_limit limit;
+        /// When the limit began, or was last stated to this node. Reports that repeat it do not count: each makes it appear later, by
+        /// the time that it was on its way.
+        time_point confirmedAt;
+    };
+
+    std::map<std::string, known_limit, std::less<>> m_limits;
 };
 
 } // namespace gypsumhub
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -80,8 +80,8 @@
     std::function<void(std::vector<peer_outcome>)> broadcastOutcomes;
     /// Called when a request to a target ended without an answer since its connection ended; set by `gateway_node`.
     std::function<void(std::shared_ptr<target_state>, const request_identity&)> onRequestLost;
-    /// Called with the head of each answer of a target and whether the target signed it; set by `gateway_node`.
-    std::function<void(const target_registration&, const http::fields&, bool)> onAnswerHead;
+    /// Called with the head of each answer of a target and when the request was sent; set by `gateway_node`.
+    std::function<void(const target_registration&, const http::response_header<>&, time_point)> onAnswerHead;
     /// Called when a target answered a request with success; set by `gateway_node`.
     std::function<void(const request_identity&)> onRequestSucceeded;
     /// Called when a request would be placed at a target for which this node needs a permit; set by `gateway_node`.
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -48,7 +48,7 @@
     m_context.broadcastOutcomes = [this](std::vector<peer_outcome> outcomes) { m_peers.send({ m_context.settings.name, std::move(outcomes) }, peersInRegion()); };
     m_context.onRequestLost = [this](std::shared_ptr<target_state> target, const request_identity& lost) { m_crashes.checkTarget(std::move(target), lost); };
     m_context.onRequestSucceeded = [this](const request_identity& succeeded) { m_crashes.recordSuccess(succeeded); };
-    m_context.onAnswerHead = [this](const target_registration& target, const http::fields& head, bool isSigned) { m_limits.handleAnswer(target, head, isSigned); };
+    m_context.onAnswerHead = [this](const target_registration& target, const http::response_header<>& head, time_point sentAt) { m_limits.handleAnswer(target, head, sentAt); };
     m_context.onPermitsNeeded = [this] { m_limits.requestPermits(); };
 }
 
--- a/gypsumhub/gateway/limit_watcher.cpp
+++ b/gypsumhub/gateway/limit_watcher.cpp
@@ -2,6 +2,7 @@
 
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/platform/stated_rate.h"
+#include "gypsumhub/platform/wire_names.h"
 
 #include <boost/asio/post.hpp>
 #include <utility>
@@ -23,8 +24,11 @@
 {
 }
 
-auto limit_watcher::handleAnswer(const target_registration& target, const http::fields& head, bool isSigned) -> void
+auto limit_watcher::handleAnswer(const target_registration& target, const http::response_header<>& head, time_point sentAt) -> void
 {
+    // Misdirected request: the answer comes from another target at the same address.
+    if (head.result() == http::status::misdirected_request)
+        return;
     auto now = bootClockNow();
     auto stated = readStatedRate(head);
     if (stated.state == stated_rate::field_state::Malformed) {
@@ -36,18 +40,26 @@
         return;
     }
     auto isValid = stated.state == stated_rate::field_state::Valid;
-    if (!isValid && !isSigned)
+    if (!isValid && head.find(wire_names::signature) == head.end())
         return;
     auto limit = target_limit { target.id, target.incarnation, isValid ? std::optional(stated.requestsPerSecond) : std::nullopt, now };
     auto wasLimited = m_context.balancer.limits().find(target.id, target.incarnation) != nullptr;
-    if (record(limit, m_context.settings.name))
-        announce(target.id, wasLimited != isValid, now);
+    if (!m_context.balancer.limits().recordAnswer(limit, sentAt))
+        return;
+    handleChange(limit, m_context.settings.name);
+    announce(target.id, wasLimited != isValid, now);
 }
 
 auto limit_watcher::record(const target_limit& limit, std::string_view statedTo) -> bool
 {
-    if (!m_context.balancer.limits().record(limit))
-        return false;
+    auto isChanged = m_context.balancer.limits().record(limit);
+    if (isChanged)
+        handleChange(limit, statedTo);
+    return isChanged;
+}
+
+auto limit_watcher::handleChange(const target_limit& limit, std::string_view statedTo) -> void
+{
     if (!limit.requestsPerSecond)
         m_context.balancer.permits().forget(limit.target);
     auto fields = boost::json::object { { "target", limit.target }, { "stated_to", statedTo } };
@@ -55,7 +67,6 @@
         fields["requests_per_second"] = *limit.requestsPerSecond;
     m_context.log.write(log_class::Notable, limit.requestsPerSecond ? "target_limit_stated" : "target_limit_ended", std::move(fields));
     dispatchSoon(limit.target);
-    return true;
 }
 
 auto limit_watcher::announce(const std::string& target, bool toFleet, time_point now) -> void
--- a/gypsumhub/gateway/limit_watcher.h
+++ b/gypsumhub/gateway/limit_watcher.h
@@ -18,9 +18,9 @@
 
     limit_watcher(gateway_context&, sender);
 
-    /// Handles the head of an answer of the target. `isSigned` marks an answer that bears its signature; only the absence of a limit
-    /// in such an answer ends the limit.
-    auto handleAnswer(const target_registration&, const http::fields& head, bool isSigned) -> void;
+    /// Handles the head of the target's answer to a request that was sent at `sentAt`. Only the absence of a limit in an answer that
+    /// bears the target's signature ends the limit.
+    auto handleAnswer(const target_registration&, const http::response_header<>& head, time_point sentAt) -> void;
     /// Whether the datagram is about limits or permits.
     static auto handles(const node_datagram&) -> bool;
     auto handleDatagram(const node_datagram&) -> void;
@@ -30,8 +30,9 @@
     auto tick(time_point now) -> void;
 
 private:
-    /// Records the limit. Returns whether it has changed.
+    /// Records the limit that another node reports. Returns whether it has changed.
     auto record(const target_limit&, std::string_view statedTo) -> bool;
+    auto handleChange(const target_limit&, std::string_view statedTo) -> void;
     /// Sends the limit to the fleet, or only to the nodes that issue its permits, delayed if it was sent a moment ago.
     auto announce(const std::string& target, bool toFleet, time_point now) -> void;
     auto sendAnnouncements(time_point now) -> void;
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -233,6 +233,8 @@
     if (!target.isClosed)
         m_context.connections.release(target.registration.id, connection);
     m_context.counters.responseTime.record(bootClockNow() - now);
+    if (result.end == exchange_end::Answered)
+        m_context.onAnswerHead(target.registration, result.answer.base(), now);
     // An answer after a stall is recorded with the current time, so that it counteracts the evidence of the stall.
     co_return classify(used, result, hadStalled && result.end == exchange_end::Answered ? bootClockNow() : now);
 }
@@ -269,9 +271,6 @@
         target.isClosed = true;
         m_context.connections.removeTarget(target.registration.id);
     }
-    // A 421 comes from another target at the same address.
-    if (status != 421)
-        m_context.onAnswerHead(target.registration, answer.base(), answer.find(wire_names::signature) != answer.end());
     if (status == 421 || answer.find(wire_names::notExecuted) != answer.end()) {
         ++m_context.counters.declinedByTarget;
         m_reason = "target_declined";
--- a/unit_tests/decision/selection/known_limits_test.cpp
+++ b/unit_tests/decision/selection/known_limits_test.cpp
@@ -33,6 +33,39 @@
     CHECK(limits.count() == 0);
 }
 
+TEST_CASE("an answer that was overtaken by a stricter one neither ends nor raises the limit")
+{
+    auto sentAt = [](int64_t ms) { return time_point {} + milliseconds(ms); };
+    auto limits = known_limits {};
+    CHECK(limits.record(stated(100, 5)));
+    CHECK(!limits.recordAnswer(stated(150, std::nullopt), sentAt(50)));
+    CHECK(!limits.recordAnswer(stated(160, 9), sentAt(60)));
+    CHECK(rateOf(limits) == 5);
+    CHECK(limits.recordAnswer(stated(200, 2), sentAt(50)));
+    CHECK(!limits.recordAnswer(stated(210, 5), sentAt(199)));
+    CHECK(rateOf(limits) == 2);
+    CHECK(limits.recordAnswer(stated(250, 5), sentAt(201)));
+    CHECK(limits.recordAnswer(stated(300, std::nullopt), sentAt(251)));
+    CHECK(rateOf(limits) == -1);
+}
+
+TEST_CASE("reports that repeat a limit do not keep its end from being noticed")
+{
+    auto limits = known_limits {};
+    CHECK(limits.recordAnswer(stated(100, 5), time_point {}));
+    CHECK(!limits.record(stated(290, 5)));
+    CHECK(limits.recordAnswer(stated(300, std::nullopt), time_point {} + milliseconds(200)));
+    CHECK(rateOf(limits) == -1);
+}
+
+TEST_CASE("an answer of another incarnation counts, whenever the request was sent")
+{
+    auto limits = known_limits {};
+    limits.record(stated(100, 5));
+    CHECK(limits.recordAnswer(stated(150, 9, 2), time_point {}));
+    CHECK(rateOf(limits, 2) == 9);
+}
+
 TEST_CASE("a limit does not hold for another incarnation of its target")
 {
     auto limits = known_limits {};
