--- a/gypsumhub/gateway/node_watcher.cpp
+++ b/gypsumhub/gateway/node_watcher.cpp
@@ -28,6 +28,8 @@
     // earlier by the missing hellos.
     constexpr auto leaseTtl = seconds(24);
     constexpr auto leaseRenewalInterval = seconds(8);
+    // A node notices with its next renewal, after 10 s at most, that the store lost its registration. Then come up to four calls.
+    constexpr auto reregistrationTime = seconds(16);
 
     auto digestOf(const store_entry& entry) -> uint64_t
     {
@@ -148,6 +150,7 @@
 auto node_watcher::read() -> task<uint64_t>
 {
     auto listed = co_await m_access.store().list(std::string(prefix), bootClockNow() + storeCallTimeout);
+    recordEra();
     if (!m_access.recordCall("nodes", listed.status))
         co_return 0;
     applyListing(listed.value);
@@ -170,6 +173,8 @@
             co_await m_access.pause(readerCheckInterval);
             continue;
         }
+        if (m_hold.takeListingDue(bootClockNow()))
+            revision = 0;
         if (revision == 0) {
             revision = co_await read();
             if (revision == 0)
@@ -178,7 +183,8 @@
                 co_await m_access.pause(pauseBetweenReads());
             continue;
         }
-        auto watched = co_await m_access.store().follow(std::string(prefix), revision, bootClockNow() + maxWatchTime);
+        auto now = bootClockNow();
+        auto watched = co_await m_access.store().follow(std::string(prefix), revision, m_hold.limit(now + maxWatchTime, now));
         if (m_access.recordCall("nodes", watched.status)) {
             revision = watched.value.revision;
             for (auto& change : watched.value.changes) {
@@ -226,12 +232,20 @@
         removed.erase(entry.key);
         applyEntry(entry);
     }
+    // Listings of other nodes have no revision.
+    if (listing.revision != 0 && m_hold.isHolding(bootClockNow()))
+        return;
     for (auto& [key, entry] : removed) {
         if (listing.buckets[bucket_digests::bucketOf(key)])
             remove(key);
     }
 }
 
+auto node_watcher::recordEra() -> void
+{
+    m_hold.recordEra(m_access.store().era(), bootClockNow() + reregistrationTime);
+}
+
 auto node_watcher::keepRegistration() -> task<>
 {
     auto isRegistered = false;
@@ -248,6 +262,7 @@
             m_access.context().memberView.setStoreDelay(m_access.store().minCallDelay());
             auto status = co_await m_access.store().put(std::move(key), formatNode(m_access.context().memberView.own()), m_lease, bootClockNow() + storeCallTimeout);
             isRegistered = m_access.recordCall("registration", status);
+            recordEra();
             m_hasRegistered |= isRegistered;
             if (status == keyspace_status::LeaseExpired || m_leaseEra != m_access.store().era()) {
                 m_lease = 0;
@@ -261,6 +276,7 @@
         co_await m_access.pause(leaseRenewalInterval);
         auto status = co_await m_access.store().renewLease(m_lease, bootClockNow() + storeCallTimeout);
         m_access.recordCall("renewal", status);
+        recordEra();
         auto isOwn = true;
         if (status == keyspace_status::Ok && m_leaseEra != m_access.store().era())
             isOwn = co_await confirmLease();
--- a/gypsumhub/gateway/node_watcher.h
+++ b/gypsumhub/gateway/node_watcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gypsumhub/decision/selection/persistent_mismatch.h"
+#include "gypsumhub/decision/selection/restoration_hold.h"
 #include "gypsumhub/gateway/store_access.h"
 
 #include <map>
@@ -48,8 +49,11 @@
     auto bucketDigests() const -> bucket_digests;
     auto applyListing(const key_listing&) -> void;
     auto remove(const std::string& key) -> void;
+    /// Notices, after a call to the store, that it came back from an older copy.
+    auto recordEra() -> void;
 
     store_access& m_access;
+    restoration_hold m_hold;
     uint64_t m_lease { 0 };
     /// The era of the store in which the lease is known to be this node's.
     uint16_t m_leaseEra { 0 };
--- a/unit_tests/gateway/restored_store_test.cpp
+++ b/unit_tests/gateway/restored_store_test.cpp
@@ -1,3 +1,4 @@
+#include "gypsumhub/config/section_reader.h"
 #include "unit_tests/gateway/gateway_fixture.h"
 
 #include <algorithm>
@@ -17,7 +18,7 @@
 auto raiseRevision(gateway_fixture& fleet, int count) -> void
 {
     for (auto write = 0; write < count; ++write)
-        fleet.registerTarget(2, "ready");
+        fleet.registerTarget(static_cast<int>(fleet.targets.size()) - 1, "ready");
 }
 
 // How many of some requests to all nodes the target runs.
@@ -35,6 +36,41 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(1'500));
 }
 
+/// A registered node of another data centre, of which only the socket for datagrams exists.
+class distant_node {
+public:
+    explicit distant_node(fake_keyspace_server& store)
+        : m_socket(m_context, { asio::ip::make_address(address.address), address.port })
+    {
+        m_socket.non_blocking(true);
+        store.put("gypsumhub/nodes/b1/distant", R"({"data_centre":"b1","caller_address":"127.0.8.1:1","peer_address":")" + formatEndpoint(address) + R"("})");
+    }
+
+    /// Whether the target's limit, which changes now, is made known to this node.
+    auto learnsLimit(gateway_fixture& fleet, int target, const std::string& requestsPerSecond) -> bool
+    {
+        receivesDatagram();
+        fleet.targets[static_cast<size_t>(target)]->setStatedLimit(requestsPerSecond);
+        runsDuringRequests(fleet, target);
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        return receivesDatagram();
+    }
+
+private:
+    auto receivesDatagram() -> bool
+    {
+        auto bytes = std::array<char, 2'048> {};
+        auto count = 0;
+        for (auto error = error_code {}; !error; count += error ? 0 : 1)
+            m_socket.receive(asio::buffer(bytes), 0, error);
+        return count > 0;
+    }
+
+    inline static const auto address = endpoint { "127.0.8.1", gateway_fixture::portOf(4) };
+    asio::io_context m_context;
+    asio::ip::udp::socket m_socket;
+};
+
 } // namespace
 
 TEST_CASE("targets that leave after the store was restored receive nothing more, though their revisions are lower than before")
@@ -141,3 +177,30 @@
     fleet.startNode(nodeCount + 2);
     CHECK(eventually([&] { return fleet.store.keys("gypsumhub/nodes/").size() == nodeCount + 3; }));
 }
+
+TEST_CASE("nodes of other data centres that a restored store has lost are not forgotten before they could register again")
+{
+    auto fleet = gateway_fixture(milliseconds(2'000), 1);
+    fleet.store.saveCopy();
+    auto distant = distant_node(fleet.store);
+    REQUIRE(eventually([&] { return distant.learnsLimit(fleet, 0, "50") || distant.learnsLimit(fleet, 0, ""); }));
+    distant.learnsLimit(fleet, 0, "");
+    fleet.store.restoreCopy();
+    // Longer than the reader takes to list the nodes again.
+    std::this_thread::sleep_for(std::chrono::seconds(5));
+    CHECK(distant.learnsLimit(fleet, 0, "50"));
+}
+
+TEST_CASE("nodes that register after the store was restored are known when a watch's position was passed")
+{
+    auto fleet = gateway_fixture(milliseconds(2'000), 1);
+    fleet.store.saveCopy();
+    raiseRevision(fleet, 3);
+    // Longer than the pause between two watches of the nodes.
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    fleet.store.restoreCopy();
+    auto distant = distant_node(fleet.store);
+    raiseRevision(fleet, 20);
+    std::this_thread::sleep_for(std::chrono::seconds(5));
+    CHECK(distant.learnsLimit(fleet, 0, "50"));
+}
