--- a/unit_tests/gateway/target_limit_test.cpp
+++ b/unit_tests/gateway/target_limit_test.cpp
@@ -1,4 +1,5 @@
 #include "gypsumhub/core/clock.h"
+#include "gypsumhub/decision/selection/permit_issuer.h"
 #include "unit_tests/gateway/raw_caller.h"
 
 #include <algorithm>
@@ -13,6 +14,8 @@
 constexpr auto window = seconds(4);
 // From the first statement of a limit until it must hold for the whole fleet.
 constexpr auto contactTime = seconds(3);
+// Until the nodes of a data centre know a new one: the reader reads the registrations every 2.5 s at most and sends them on.
+constexpr auto discoveryTime = milliseconds(3'000);
 
 auto sleepFor(int64_t ms) -> void
 {
@@ -202,9 +205,9 @@
     fleet.nodes[static_cast<size_t>(issuer)]->requestStop();
     sleepFor(2'000);
     fleet.startNode(nodeCount);
-    // The new node becomes the issuer in turn, once it is ready.
+    // The new node becomes the issuer in turn, once it is ready and known.
     REQUIRE(eventually([&] { return fleet.isReady(nodeCount); }));
-    sleepFor(3'000);
+    sleepFor((discoveryTime + permit_issuer::handoverTime).milliseconds());
     CHECK(mostInWindow(limited, statedAt + contactTime) <= allowedInWindow(5));
     auto settledAt = bootClockNow();
     sleepFor(4'000);
