--- a/unit_tests/decision/selection/permit_fleet_test.cpp
+++ b/unit_tests/decision/selection/permit_fleet_test.cpp
@@ -31,8 +31,11 @@
     size_t busyNodes { 1 };
     double lossShare { 0 };
     double duplicateShare { 0 };
-    /// When another node becomes the issuer, and each node notices it within a second. Alternates between two nodes.
+    /// When another node becomes the issuer, and each node notices it within `noticeTime`. Alternates between two nodes.
     std::vector<time_point> issuerChanges {};
+    duration noticeTime { milliseconds(1'000) };
+    /// The second of these two nodes starts: it knows itself at once, while the first one is the last to know it.
+    bool isSecondStarting { false };
 };
 
 // Nodes that exchange permits of one target over a network that loses, delays and duplicates datagrams.
@@ -93,13 +96,20 @@
             m_network.emplace((now + milliseconds(1 + static_cast<int64_t>(m_random.below(25)))).ns, sent);
     }
 
+    auto noticeDelay(size_t node) -> duration
+    {
+        if (m_options.isSecondStarting && node <= 1)
+            return node == 1 ? duration {} : m_options.noticeTime;
+        return milliseconds(static_cast<int64_t>(m_random.below(static_cast<uint64_t>(m_options.noticeTime.milliseconds()))));
+    }
+
     auto noticeIssuer(time_point now) -> void
     {
         for (auto change : m_options.issuerChanges) {
             if (change <= now && now < change + stepTime) {
                 m_issuer = 1 - m_issuer;
                 for (auto node = size_t { 0 }; node < m_nodes.size(); ++node)
-                    m_noticeAt.emplace((now + milliseconds(static_cast<int64_t>(m_random.below(1'000)))).ns, node);
+                    m_noticeAt.emplace((now + noticeDelay(node)).ns, node);
             }
         }
         while (!m_noticeAt.empty() && m_noticeAt.begin()->first <= now.ns) {
@@ -184,6 +194,25 @@
     }
 }
 
+TEST_CASE("a limit holds while a node that has just started becomes the issuer and some nodes know it seconds before others")
+{
+    // Readers of the registrations pause for up to 2.5 s and then send them on.
+    constexpr auto noticeTime = milliseconds(3'200);
+    for (auto rate : { 1.0, 10.0, 100.0, 400.0 }) {
+        for (auto nodes : { size_t { 6 }, size_t { 40 } }) {
+            for (auto seed = uint64_t { 1 }; seed <= 5; ++seed) {
+                CAPTURE(rate);
+                CAPTURE(nodes);
+                CAPTURE(seed);
+                auto fleet = permit_fleet({ nodes, rate, nodes, 0, 0, { at(6'000) }, noticeTime, true }, seed);
+                fleet.run(at(32'000));
+                CHECK(fleet.mostInWindow(at(0) + contactTime) <= allowedInWindow(rate));
+                CHECK(fleet.arrivals(at(12'000), at(32'000)) >= 0.9 * rate * 20);
+            }
+        }
+    }
+}
+
 TEST_CASE("nearly all of a limit is used, whether the requests arrive at one node or at all")
 {
     for (auto rate : { 1.0, 5.0, 50.0, 300.0 }) {
