--- a/gypsumhub/decision/selection/known_limits.h
+++ b/gypsumhub/decision/selection/known_limits.h
@@ -8,7 +8,8 @@
 namespace gypsumhub {
 
 /// The rate limits of targets as learned from their answers and from other nodes. The latest answer counts, also when it is reported
-/// before an earlier one; of answers to this node that may have overtaken each other, the strictest. Kept independently of the registrations, since a registration can be missing while the store is away.
+/// before an earlier one; of answers to this node that may have overtaken each other, the one that allows least. Kept independently of
+/// the registrations, since a registration can be missing while the store is away.
 class known_limits {
 public:
     /// Records what a target stated. Returns whether it has changed: a limit that is new, another one, or none any more.
