--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -65,9 +65,11 @@
 class gateway_fixture {
 public:
     /// `stopLimit` is the time from the signal to stop until the platform would kill the process.
-    explicit gateway_fixture(duration stopLimit = milliseconds(2'000), int targetCount = 3)
+    /// The data centres of the deployment are all in region "a".
+    explicit gateway_fixture(duration stopLimit = milliseconds(2'000), int targetCount = 3, std::vector<std::string> dataCentres = { "a1" })
         : store("127.0.0.1")
         , m_stopLimit(stopLimit)
+        , m_dataCentres(std::move(dataCentres))
     {
         configure(1, "bookdesk");
         for (auto index = 0; index < targetCount; ++index) {
@@ -106,10 +108,10 @@
         store.put("op/config", text);
     }
 
-    auto registerTarget(int index, const std::string& state) -> void
+    auto registerTarget(int index, const std::string& state, const std::string& dataCentre = "a1") -> void
     {
         auto& target = *targets[static_cast<size_t>(index)];
-        store.put("servers/" + target.id(), R"({"address":"127.0.0.1:)" + std::to_string(target.port()) + R"(","info":{"service":"bookdesk","version":"v1","data_centre":"a1","slots":4},"status":{"state":")" + state + R"(","sequence":1,"warm_up_left":"0ms"}})");
+        store.put("servers/" + target.id(), R"({"address":"127.0.0.1:)" + std::to_string(target.port()) + R"(","info":{"service":"bookdesk","version":"v1","data_centre":")" + dataCentre + R"(","slots":4},"status":{"state":")" + state + R"(","sequence":1,"warm_up_left":"0ms"}})");
     }
 
     /// Starts a crashed target again and registers it under its new id in place of the old one.
@@ -177,14 +179,18 @@
     std::vector<std::unique_ptr<fake_gateway_target>> targets;
     std::vector<std::unique_ptr<gateway_node>> nodes;
 
+    /// The thread that does all the work of a node.
+    auto threadOf(int index) -> pthread_t { return m_threads[static_cast<size_t>(index)].native_handle(); }
+
     /// Nodes have the indices from 0 in the order of their start.
-    auto startNode(int index) -> void
+    auto startNode(int index, const std::string& dataCentre = "a1") -> void
     {
         auto settings = gateway_settings {};
         settings.name = "n" + std::to_string(index + 1);
-        settings.dataCentre = "a1";
+        settings.dataCentre = dataCentre;
         settings.region = "a";
-        settings.dataCentres = { { "a1", "a" } };
+        for (auto& name : m_dataCentres)
+            settings.dataCentres.emplace_back(name, "a");
         settings.callerAddress = callerAddress(index);
         settings.readinessAddress = addressOf(index, portOf(2));
         settings.directoryAddress = addressOf(index, portOf(3));
@@ -206,6 +212,7 @@
 
 private:
     duration m_stopLimit;
+    std::vector<std::string> m_dataCentres;
     std::string m_logPath { "/tmp/gypsumhub_gateway_test." + std::to_string(::getpid()) + ".log" };
     std::FILE* m_log { std::fopen(m_logPath.c_str(), "w+") };
     std::vector<std::thread> m_threads;
