--- a/gypsumhub/decision/selection/load_balancer.cpp
+++ b/gypsumhub/decision/selection/load_balancer.cpp
@@ -235,6 +235,18 @@
     return { before, after };
 }
 
+auto load_balancer::forgetPathFailures(std::string_view name, time_point since, time_point now) -> void
+{
+    auto& service = serviceOf(name);
+    for (auto& target : service.targets) {
+        if (target->pathFailedAt < since)
+            continue;
+        target->health = health_estimate(now, service.model.rates());
+        target->isClassifiedBad = false;
+        target->classifiedSince = now;
+    }
+}
+
 auto load_balancer::recordEnd(std::string_view name, bool isServed, time_point now) -> void
 {
     auto& service = serviceOf(name);
--- a/gypsumhub/decision/selection/load_balancer.h
+++ b/gypsumhub/decision/selection/load_balancer.h
@@ -75,12 +75,16 @@
     auto observe(target_state&, outcome_kind, time_point sentAt, time_point now) -> health_change;
     /// Updates the response times of the target and of its service with those of a successful request.
     auto recordResponseTime(target_state&, duration responseTime) -> void;
+    /// Forgets the health of those targets of the service whose latest path failure was at `since` or later, as the fault was this
+    /// node's.
+    auto forgetPathFailures(std::string_view service, time_point since, time_point now) -> void;
     /// Records the final result of a caller's request to the service, after all retries.
     auto recordEnd(std::string_view service, bool isServed, time_point now) -> void;
     /// Starts a backoff after the target declined a request because it was full.
     auto recordFull(target_state&, time_point now) -> void;
 
     auto model(std::string_view service) -> service_model&;
+    auto targetsOf(std::string_view service) -> const std::vector<std::shared_ptr<target_state>>& { return serviceOf(service).targets; }
     /// The rate limits of the targets, and the permits of this node to send requests to them.
     auto limits() -> known_limits& { return m_limits; }
     auto limits() const -> const known_limits& { return m_limits; }
--- a/gypsumhub/decision/selection/membership_view.cpp
+++ b/gypsumhub/decision/selection/membership_view.cpp
@@ -319,6 +319,21 @@
     return names;
 }
 
+auto membership_view::helpers(time_point now) const -> std::vector<node_registration>
+{
+    auto local = std::vector<node_registration> {}, remote = std::vector<node_registration> {};
+    for (auto& [name, other] : m_nodes) {
+        if (isAvailable(other, now))
+            (other.registration.dataCentre == m_own.dataCentre ? local : remote).push_back(other.registration);
+    }
+    return local.empty() ? remote : local;
+}
+
+auto membership_view::isNodeAddress(std::string_view address) const -> bool
+{
+    return std::ranges::any_of(m_nodes, [&](auto& entry) { return entry.second.registration.callerAddress.address == address; });
+}
+
 auto membership_view::localPeers() const -> std::vector<node_registration>
 {
     auto nodes = peers();
--- a/gypsumhub/decision/selection/membership_view.h
+++ b/gypsumhub/decision/selection/membership_view.h
@@ -87,6 +87,10 @@
     /// Names of the nodes that can issue the permits of a target, in this order (rendezvous hashing): nodes of its data centre, or of all
     /// when that one has none. The first one issues them. At most `maxPermitIssuers`.
     auto permitIssuers(std::string_view target, std::string_view dataCentre, time_point now) const -> std::vector<std::string>;
+    /// Nodes that can send requests to targets in place of this one: the active ones of its data centre, or without any those of others.
+    auto helpers(time_point now) const -> std::vector<node_registration>;
+    /// Whether a registered node accepts callers at this IP address.
+    auto isNodeAddress(std::string_view address) const -> bool;
     auto localPeers() const -> std::vector<node_registration>;
     /// The nodes from which this one requests listings at startup, in this order; empty for the first node of a data centre.
     /// The nodes form a tree, so that a data centre that starts all at once overloads neither the store nor a single node.
--- a/gypsumhub/decision/selection/target_state.h
+++ b/gypsumhub/decision/selection/target_state.h
@@ -24,6 +24,8 @@
     time_point lastChosenAt {};
     /// From then on a trial request is due to a target that joined while this node was running and has no outcome yet.
     time_point trialDueAt { never };
+    /// The latest failure that may lie in the network path to the target.
+    time_point pathFailedAt {};
     /// The target was removed, or its address belongs to another target. It receives no new requests.
     bool isClosed { false };
 };
--- /dev/null
+++ b/gypsumhub/gateway/caller_reply.cpp
@@ -0,0 +1,37 @@
+#include "gypsumhub/gateway/caller_reply.h"
+
+#include "gypsumhub/platform/wire_names.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace gypsumhub {
+
+namespace {
+
+    // A busy slot is not free earlier.
+    constexpr auto minRetryAfter = milliseconds(100);
+    constexpr auto maxJitter = 0.5;
+
+} // namespace
+
+auto makeReply(unsigned status, std::string_view requestId) -> caller_reply
+{
+    auto reply = caller_reply(http::int_to_status(status), 11);
+    if (!requestId.empty())
+        reply.set(wire_names::requestId, requestId);
+    return reply;
+}
+
+auto makeRefusal(std::string_view requestId, duration retryAfter, random_generator& random) -> caller_reply
+{
+    auto reply = makeReply(503, requestId);
+    auto after = std::max(retryAfter, minRetryAfter).seconds() * (1 + maxJitter * random.unit());
+    auto text = std::array<char, 32> {};
+    std::snprintf(text.data(), text.size(), "%.2f", after);
+    reply.set(http::field::retry_after, text.data());
+    return reply;
+}
+
+} // namespace gypsumhub
--- a/gypsumhub/gateway/crash_watcher.cpp
+++ b/gypsumhub/gateway/crash_watcher.cpp
@@ -61,7 +61,7 @@
     auto check = std::move(m_checks.extract(targetId).mapped());
     // A target that was leaving has ended as planned.
     auto wasLeaving = check.target->isClosed || check.target->registration.isDraining;
-    if (error == asio::error::connection_refused && !wasLeaving)
+    if (error == asio::error::connection_refused && !wasLeaving && !m_context.hasLostPaths(check.target->registration.service))
         reportCrash(check);
 }
 
--- a/gypsumhub/gateway/gateway_context.cpp
+++ b/gypsumhub/gateway/gateway_context.cpp
@@ -1,7 +1,9 @@
 #include "gypsumhub/gateway/gateway_context.h"
 
 #include "gypsumhub/core/clock.h"
+#include "gypsumhub/core/deadline_timer.h"
 #include "gypsumhub/core/hash.h"
+#include "gypsumhub/decision/selection/start_hold.h"
 
 #include <algorithm>
 
@@ -13,6 +15,7 @@
     constexpr auto maxInformativeFailure = 0.95;
     // A success is sent to the other nodes only when the target was bad with more than this probability.
     constexpr auto minInformativeSuccess = 0.15;
+    constexpr auto startupCheckInterval = milliseconds(10);
     // A target is logged as ejected or reinstated when its probability of being bad crosses this threshold.
     constexpr auto ejectionThreshold = 0.5;
 
@@ -44,8 +47,57 @@
 {
 }
 
+auto gateway_context::awaitInitialized(time_point arrivedAt, const bool& isCancelled) -> task<>
+{
+    if (isInitialized())
+        co_return;
+    auto until = holdUntil(arrivedAt, startedAt, heldRequests);
+    auto timer = steady_timer(io.get_executor());
+    ++heldRequests;
+    while (!isInitialized() && !isCancelled && !shutdown.hasBegun() && bootClockNow() < until)
+        co_await sleepUntil(timer, bootClockNow() + startupCheckInterval);
+    --heldRequests;
+}
+
+auto gateway_context::retryReserveShare(std::string_view host, time_point now) const -> double
+{
+    // The callers of a host connect to a small group of nodes in each data centre, which share the reserve. Half of it is kept
+    // for the nodes that replace them when they fail.
+    auto group = memberView.group(host, settings.dataCentre, groupRequirement(), now);
+    auto isMember = std::ranges::find(group, settings.callerAddress) != group.end();
+    auto members = static_cast<double>(std::max<size_t>(settings.directoryNodes, group.size()) * settings.dataCentres.size());
+    return isMember ? 0.5 / members : 0;
+}
+
+auto gateway_context::pathsTo(std::string_view service) -> path_monitor&
+{
+    auto found = paths.find(service);
+    if (found == paths.end())
+        found = paths.emplace(std::string(service), path_monitor(random())).first;
+    return found->second;
+}
+
+auto gateway_context::hasLostPaths(std::string_view service) const -> bool
+{
+    auto found = paths.find(service);
+    return found != paths.end() && found->second.areLost();
+}
+
+auto gateway_context::recordConnect(std::string_view service, std::string_view target, bool isOpen, time_point startedAt) -> void
+{
+    if (isOpen)
+        pathsTo(service).recordConnected(target, bootClockNow());
+    else
+        pathsTo(service).recordConnectFailure(target, startedAt, bootClockNow());
+}
+
 auto gateway_context::recordOutcome(target_state& target, outcome_kind kind, time_point sentAt, bool mayBePath) -> void
 {
+    // Without a path nothing is learned about the target.
+    if (hasLostPaths(target.registration.service) && kind != outcome_kind::Success)
+        return;
+    if (mayBePath)
+        target.pathFailedAt = bootClockNow();
     auto change = balancer.observe(target, kind, sentAt, bootClockNow());
     logHealthChange(target, change, kind, settings.name);
     auto isInformative = kind == outcome_kind::Failure ? change.before < maxInformativeFailure : kind == outcome_kind::Success && change.before > minInformativeSuccess;
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -7,6 +7,7 @@
 #include "gypsumhub/decision/selection/demand_meter.h"
 #include "gypsumhub/decision/selection/load_balancer.h"
 #include "gypsumhub/decision/selection/membership_view.h"
+#include "gypsumhub/decision/selection/path_monitor.h"
 #include "gypsumhub/decision/selection/poison_request_detector.h"
 #include "gypsumhub/decision/selection/registration_view.h"
 #include "gypsumhub/decision/selection/shutdown_schedule.h"
@@ -27,7 +28,10 @@
 /// Memory of the answers that a node receives at the same time, a third of the smallest machine's.
 constexpr auto maxAnswerMemory = size_t { 48 * 1024 * 1024 };
 
-/// A request in flight at a target.
+/// A connection inside the deployment takes less than a tenth of this; the rest allows for one lost packet.
+constexpr auto connectTimeout = milliseconds(450);
+
+/// A request in flight at a target, or at the node that it was relayed to; `target` is then null.
 struct active_attempt {
     std::shared_ptr<target_state> target;
     time_point sentAt;
@@ -46,10 +50,19 @@
     auto regionOf(std::string_view dataCentre) const -> std::string;
     /// Whether the node has received routes and target registrations.
     auto isInitialized() const -> bool { return routes && hasTargetListing; }
+    /// Holds a request for a limited time while the node starts and has no routes or targets yet. Ends early once `isCancelled`.
+    auto awaitInitialized(time_point arrivedAt, const bool& isCancelled) -> task<>;
     auto groupRequirement() const -> group_requirement { return { settings.directoryNodes, settings.directorySize }; }
+    /// The share of the retry reserve of the fleet that this node may use for a host.
+    auto retryReserveShare(std::string_view host, time_point now) const -> double;
     /// Records an outcome seen by this node and sends it to the other nodes when it is informative. `mayBePath` marks a fault that
     /// may lie in the network path to the target; it is not sent, since other nodes have other paths.
     auto recordOutcome(target_state&, outcome_kind, time_point sentAt, bool mayBePath) -> void;
+    auto pathsTo(std::string_view service) -> path_monitor&;
+    /// Whether this node has lost its paths to all targets of the service.
+    auto hasLostPaths(std::string_view service) const -> bool;
+    /// Records the result of opening a connection to a target of the service.
+    auto recordConnect(std::string_view service, std::string_view target, bool isOpen, time_point startedAt) -> void;
     /// Records an outcome received from another node.
     auto recordPeerOutcome(const peer_outcome&, std::string_view sender) -> void;
     auto logHealthChange(const target_state&, health_change, outcome_kind, std::string_view seenBy) -> void;
@@ -65,6 +78,10 @@
     membership_view memberView;
     registration_view view;
     poison_request_detector poisonRequests;
+    /// By service.
+    std::map<std::string, path_monitor, std::less<>> paths;
+    /// By service, until when no request is relayed.
+    std::map<std::string, time_point, std::less<>> relayDeniedUntil;
     /// The era in the latest answer of the store; 0 before the first one.
     uint16_t storeEra { 0 };
     /// When the view was last known to match the store.
@@ -72,6 +89,8 @@
     /// Before the members that hold connections.
     buffer_budget answerBudget { maxAnswerMemory };
     target_connection_pool connections;
+    /// Connections to other nodes by their names.
+    target_connection_pool relayConnections;
     demand_meter demand;
     std::list<active_attempt> attempts;
     std::map<std::string, std::unique_ptr<service_dispatcher>, std::less<>> dispatchers;
--- a/gypsumhub/gateway/gateway_counters.h
+++ b/gypsumhub/gateway/gateway_counters.h
@@ -43,6 +43,11 @@
     uint64_t declinedByTarget { 0 };
     uint64_t connectFailures { 0 };
     uint64_t newConnections { 0 };
+    uint64_t pathProbes { 0 };
+    uint64_t pathLosses { 0 };
+    uint64_t relayed { 0 };
+    uint64_t relaysNotTaken { 0 };
+    uint64_t relaysReceived { 0 };
     uint64_t outcomesSent { 0 };
     uint64_t outcomesReceived { 0 };
     uint64_t storeFailures { 0 };
--- a/gypsumhub/gateway/gateway_metrics.cpp
+++ b/gypsumhub/gateway/gateway_metrics.cpp
@@ -51,6 +51,8 @@
     metrics.addCounter("log_lines_dropped_total", "Log lines dropped by the rate limit, by sampling or because the reader was too slow.", static_cast<double>(context.log.dropped()));
     metrics.addGauge("configuration_version", "Version of the configuration in force.", context.routes ? static_cast<double>(context.routes->version()) : 0);
     metrics.addGauge("registrations_age_seconds", "Time since the registrations were last known to match the store.", (bootClockNow() - context.viewConfirmedAt).seconds());
+    for (auto& [service, monitor] : context.paths)
+        metrics.addGauge("target_paths_lost", "1 while the node has lost its network paths to all targets of the service.", monitor.areLost() ? 1 : 0, { { "service", service } });
     metrics.addGauge("open_requests", "Requests not answered yet.", context.openRequests);
     metrics.addGauge("idle_target_connections", "Idle connections to targets.", static_cast<double>(context.connections.size()));
     metrics.addGauge("quarantined_requests", "Requests that are not sent to targets since they crash them.", static_cast<double>(context.poisonRequests.quarantinedCount()));
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -37,6 +37,7 @@
     , m_peers(m_context.io, [this](std::optional<node_datagram> datagram, std::string_view address) { handleDatagram(std::move(datagram), address); })
     , m_crashes(m_context, [this](const node_datagram& datagram, std::span<const node_registration> receivers) { m_peers.send(datagram, receivers); })
     , m_limits(m_context, [this](const node_datagram& datagram, std::span<const node_registration> receivers) { m_peers.send(datagram, receivers); })
+    , m_paths(m_context, [this] { sendHello(); })
     , m_readiness(m_context.io, [this](std::string_view target) { return answerReadiness(target); })
     , m_directory(m_context.io, [this](std::string_view target) { return answerDirectory(target); })
     , m_metrics(m_context.io, [this](std::string_view) { return http_answer { 200, "text/plain; version=0.0.4", formatGatewayMetrics(m_context, m_store.callCount()) }; })
@@ -104,10 +105,12 @@
         m_watcher.tick();
         m_crashes.tick(now);
         m_limits.tick(now);
+        m_paths.tick(now);
         if (now >= m_nextHello)
             sendHello();
         if (now >= m_nextSweep) {
             m_context.connections.sweep(now);
+            m_context.relayConnections.sweep(now);
             m_nextSweep = now + sweepInterval;
         }
         m_context.log.flush();
@@ -120,10 +123,13 @@
     // `onStall` may end attempts and change the list, so the stalled ones are collected first.
     auto overdue = std::vector<std::pair<std::shared_ptr<target_state>, std::function<void()>>> {};
     for (auto& attempt : m_context.attempts) {
+        if (!attempt.target)
+            continue;
         auto limit = m_context.balancer.model(attempt.target->registration.service).stallThreshold();
         if (attempt.isStalled || now < attempt.sentAt + limit)
             continue;
         attempt.isStalled = true;
+        m_context.pathsTo(attempt.target->registration.service).recordNoAnswer(attempt.target->registration.id, attempt.sentAt, now);
         m_context.recordOutcome(*attempt.target, outcome_kind::Stall, now, true);
         overdue.emplace_back(attempt.target, attempt.onStall);
     }
--- a/gypsumhub/gateway/gateway_node.h
+++ b/gypsumhub/gateway/gateway_node.h
@@ -5,6 +5,7 @@
 #include "gypsumhub/gateway/gateway_context.h"
 #include "gypsumhub/gateway/http_responder.h"
 #include "gypsumhub/gateway/limit_watcher.h"
+#include "gypsumhub/gateway/path_prober.h"
 #include "gypsumhub/gateway/peer_channel.h"
 #include "gypsumhub/gateway/store_watcher.h"
 #include "gypsumhub/platform/kv_client.h"
@@ -47,6 +48,7 @@
     peer_channel m_peers;
     crash_watcher m_crashes;
     limit_watcher m_limits;
+    path_prober m_paths;
     http_responder m_readiness;
     http_responder m_directory;
     http_responder m_metrics;
--- a/gypsumhub/gateway/outbound_head.cpp
+++ b/gypsumhub/gateway/outbound_head.cpp
@@ -1,5 +1,6 @@
 #include "gypsumhub/gateway/outbound_head.h"
 
+#include "gypsumhub/gateway/relay_fields.h"
 #include "gypsumhub/platform/wire_names.h"
 #include "gypsumhub/proxy/message_fields.h"
 
@@ -16,6 +17,12 @@
     return *this;
 }
 
+auto outbound_head::setRelay(std::string_view fields) -> outbound_head&
+{
+    m_relay = fields;
+    return *this;
+}
+
 auto outbound_head::setTimeLeft(duration left) -> outbound_head&
 {
     m_timeLeft = left;
@@ -29,12 +36,16 @@
     removeHopByHopFields(fields);
     fields.erase(wire_names::timeLeft);
     fields.erase(wire_names::expectedTarget);
+    fields.erase(relay_fields::name);
     auto text = std::string(m_request.method_string()) + " " + std::string(m_request.target()) + " HTTP/1.1\r\n";
     auto append = [&](std::string_view name, std::string_view value) { text.append(name).append(": ").append(value).append("\r\n"); };
     for (auto& field : fields)
         append(field.name_string(), field.value());
     append(wire_names::timeLeft, std::to_string(m_timeLeft.milliseconds()));
-    append(wire_names::expectedTarget, m_target);
+    if (!m_target.empty())
+        append(wire_names::expectedTarget, m_target);
+    if (!m_relay.empty())
+        append(relay_fields::name, m_relay);
     if (carriesBody)
         append("Content-Length", std::to_string(m_request.body().size()));
     return text + "\r\n";
--- a/gypsumhub/gateway/outbound_head.h
+++ b/gypsumhub/gateway/outbound_head.h
@@ -9,13 +9,15 @@
 
 namespace gypsumhub {
 
-/// Builds the head of a caller's request as it is sent to one target.
+/// Builds the head of a caller's request as it is sent to one target, or to another node that sends it to a target.
 class outbound_head {
 public:
     explicit outbound_head(const inbound_message&);
 
     /// Sets the only target that may run the request. A target with another id declines it.
     auto setTarget(std::string_view id) -> outbound_head&;
+    /// Sets what the receiving node needs to know about a relayed request.
+    auto setRelay(std::string_view fields) -> outbound_head&;
     /// Sets the time left until the deadline.
     auto setTimeLeft(duration) -> outbound_head&;
     auto build() const -> std::string;
@@ -23,6 +25,7 @@
 private:
     const inbound_message& m_request;
     std::string m_target;
+    std::string m_relay;
     duration m_timeLeft;
 };
 
--- /dev/null
+++ b/gypsumhub/gateway/placement_request.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "gypsumhub/core/time_point.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace gypsumhub {
+
+/// A request for a target.
+struct placement_request {
+    uint32_t priority { 0 };
+    bool isRetryable { false };
+    std::vector<std::string> tried;
+    time_point arrivedAt;
+    /// When the wait for a target ends.
+    time_point expiresAt;
+    /// From then on a free target is accepted although a better one is busy.
+    time_point acceptAnyAt;
+
+    /// Sets the times from the arrival. The wait ends at `latest`.
+    auto setTimes(duration latencyTarget, duration meanResponseTime, time_point latest) -> void;
+    /// The time that a request reserves for its own execution.
+    static auto expectedTime(duration meanResponseTime) -> duration;
+};
+
+} // namespace gypsumhub
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -1,46 +1,33 @@
 #include "gypsumhub/gateway/request_handler.h"
 
 #include "gypsumhub/core/clock.h"
-#include "gypsumhub/core/store_position.h"
-#include "gypsumhub/decision/selection/start_hold.h"
 #include "gypsumhub/gateway/outbound_head.h"
+#include "gypsumhub/gateway/request_deadline.h"
 #include "gypsumhub/gateway/request_identity.h"
+#include "gypsumhub/gateway/request_relay.h"
 #include "gypsumhub/gateway/request_target.h"
 #include "gypsumhub/platform/wire_names.h"
 #include "gypsumhub/proxy/message_fields.h"
 
 #include <algorithm>
-#include <charconv>
-#include <cstdio>
 #include <utility>
 
 namespace gypsumhub {
 
 namespace {
 
-    // A connect inside the deployment takes less than a tenth of this; the rest allows for one lost packet.
-    constexpr auto connectTimeout = milliseconds(450);
     // Targets that could not be reached before the request is given up; each costs up to a connect timeout.
     constexpr auto maxConnectFailures = 3U;
+    constexpr auto connectFailuresToRelay = 2U;
     // The target's deadline is earlier, so that an answer sent at that deadline arrives before the node's own.
     constexpr auto deadlineMargin = milliseconds(8);
     // With less time left no target can run the request.
     constexpr auto minTimeLeft = milliseconds(20);
-    // A waiting request reserves this many times the mean response time for its own execution.
-    constexpr auto responseTimeMargin = 1.3;
-    // The share of the latency target after which a free target is accepted although a better one is busy.
-    constexpr auto acceptAnyShare = 0.1;
-    // Lower bound of Retry-After: a busy slot is not free earlier.
-    constexpr auto minRetryAfter = milliseconds(100);
+    constexpr auto noRoom = "no_room";
+    constexpr auto quarantined = "quarantined";
     // Time for a target to register or recover.
     constexpr auto noTargetRetryAfter = milliseconds(400);
     constexpr auto notReadyRetryAfter = milliseconds(500);
-    constexpr auto startupCheckInterval = milliseconds(10);
-
-    auto scaled(duration length, double factor) -> duration
-    {
-        return { static_cast<int64_t>(static_cast<double>(length.ns) * factor) };
-    }
 
 } // namespace
 
@@ -48,7 +35,9 @@
     : m_context(context)
     , m_request(std::move(request))
     , m_id(m_request[wire_names::requestId])
-    , m_identity(identityOf(m_request, callerAddress))
+    , m_callerAddress(callerAddress)
+    , m_relayed(context.memberView.isNodeAddress(callerAddress) ? readRelayFields(m_request) : std::nullopt)
+    , m_identity(identityOf(m_request, m_relayed ? m_relayed->callerAddress : m_callerAddress))
     , m_arrivedAt(arrivedAt)
     , m_deadline(arrivedAt)
     , m_log(context.log, m_id)
@@ -67,7 +56,7 @@
     ++m_context.counters.requests;
     ++m_context.openRequests;
     auto reply = caller_reply {};
-    co_await awaitStartup();
+    co_await m_context.awaitInitialized(m_arrivedAt, m_callerLeft);
     // The routes may have changed since the request was read.
     if (m_routes != m_context.routes)
         findRoute();
@@ -76,7 +65,7 @@
     else if (!m_route) {
         ++m_context.counters.noRoute;
         m_reason = "no_route";
-        reply = makeReply(404);
+        reply = makeReply(404, m_id);
     } else
         reply = co_await serve();
     --m_context.openRequests;
@@ -84,28 +73,6 @@
     co_return reply;
 }
 
-auto request_handler::awaitStartup() -> task<>
-{
-    if (m_context.isInitialized())
-        co_return;
-    auto until = holdUntil(m_arrivedAt, m_context.startedAt, m_context.heldRequests);
-    auto timer = steady_timer(m_context.io.get_executor());
-    ++m_context.heldRequests;
-    while (!m_context.isInitialized() && !m_callerLeft && !m_context.shutdown.hasBegun() && bootClockNow() < until)
-        co_await sleepUntil(timer, bootClockNow() + startupCheckInterval);
-    --m_context.heldRequests;
-}
-
-auto request_handler::readDeadline() -> void
-{
-    m_deadline = m_arrivedAt + m_route->timeLimit;
-    auto text = m_request[wire_names::timeLeft];
-    auto left = int64_t { 0 };
-    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), left);
-    if (error == std::errc {} && left >= 0)
-        m_deadline = std::min(m_deadline, m_arrivedAt + milliseconds(std::min<int64_t>(left, 3'600'000)));
-}
-
 auto request_handler::targetDeadline() const -> time_point
 {
     return std::min(m_deadline, m_context.shutdown.latestDeadline());
@@ -113,57 +80,107 @@
 
 auto request_handler::makePlacementRequest() -> placement_request
 {
-    auto expectedTime = scaled(m_context.balancer.model(m_dispatcher->service()).meanResponseTime(), responseTimeMargin);
     auto request = placement_request { m_route->priority, m_route->isRetryable, m_tried, m_arrivedAt, {}, {} };
-    auto onTime = m_arrivedAt + m_route->latencyTarget - expectedTime;
-    // A request that misses its latency target is still of use to the caller until the deadline.
-    request.expiresAt = std::min(std::max(onTime, m_arrivedAt + scaled(m_route->latencyTarget, acceptAnyShare)), targetDeadline() - minTimeLeft);
-    request.acceptAnyAt = m_arrivedAt + scaled(m_route->latencyTarget, acceptAnyShare);
+    request.setTimes(m_route->latencyTarget, m_context.balancer.model(m_dispatcher->service()).meanResponseTime(), targetDeadline() - minTimeLeft);
     return request;
 }
 
 auto request_handler::serve() -> task<caller_reply>
 {
-    readDeadline();
+    m_deadline = deadlineOf(m_request, *m_route, m_arrivedAt);
     if (!m_context.shutdown.accepts(bootClockNow(), m_deadline))
-        co_return refuse("stopping", minRetryAfter);
-    m_context.demand.recordRequest(m_route->host, m_arrivedAt);
-    m_dispatcher = &m_context.dispatcher(m_context.roundRobinOf(*m_route).next());
-    m_dispatcher->retryBudget().recordRequest(m_arrivedAt);
+        co_return refuse("stopping", {});
     m_body = std::make_shared<const std::string>(m_request.body());
+    m_dispatcher = &m_context.dispatcher(chooseService());
+    m_context.counters.relaysReceived += m_relayed ? 1 : 0;
+    if (m_relayed && hasLostPaths())
+        co_return refuse("target_paths_lost", noTargetRetryAfter);
+    if (!isToBeRelayed()) {
+        m_context.demand.recordRequest(m_route->host, m_arrivedAt);
+        m_dispatcher->retryBudget().recordRequest(m_arrivedAt);
+    }
     for (;;) {
         if (m_context.poisonRequests.quarantinedUntil(m_identity, bootClockNow())) {
             ++m_context.counters.quarantineRefusals;
-            co_return m_mayHaveRun ? finalReply() : refuse("quarantined", poison_request_detector::quarantineTime);
+            co_return m_mayHaveRun ? finalReply() : refuse(quarantined, poison_request_detector::quarantineTime);
         }
         if (m_sent > 0 && !mayRetry())
             co_return finalReply();
+        if (isToBeRelayed()) {
+            auto reply = co_await relay();
+            if (reply)
+                co_return *reply;
+        }
         auto placed = co_await m_dispatcher->place(makePlacementRequest(), m_wait);
+        if (placed.end == placement_end::PathsLost) {
+            m_hasRetry = m_sent > 0;
+            continue;
+        }
         if (m_callerLeft && placed.end == placement_end::Placed) {
             m_dispatcher->release(*placed.target);
             placed.end = placement_end::CallerLeft;
         }
         if (placed.end != placement_end::Placed) {
-            m_reason = placed.end == placement_end::NoTarget ? "no_target" : placed.end == placement_end::NoCapacity ? "no_room"
+            m_reason = placed.end == placement_end::NoTarget ? "no_target" : placed.end == placement_end::NoCapacity ? noRoom
                                                                                                                      : "caller_left";
             auto retryAfter = placed.end == placement_end::NoTarget ? noTargetRetryAfter : placed.predictedWait;
             co_return m_mayHaveRun ? finalReply() : refuse(m_reason, retryAfter);
         }
         m_context.counters.queueingDelay.record(bootClockNow() - m_arrivedAt);
-        logPlacement(*placed.target, placed.probabilityBad);
+        m_log.recordPlacement(placement_fields { *m_route, m_routes->version(), *placed.target, placed.probabilityBad, m_sent + 1, m_arrivedAt, m_dispatcher->waiting() });
         auto ended = co_await attempt(placed.target, placed.sendBefore);
         m_dispatcher->release(*placed.target);
         m_tried.push_back(placed.target->registration.id);
+        // Another node may reach what this one does not.
+        m_wantsRelay |= m_connectFailures >= connectFailuresToRelay;
         auto isOver = ended == attempt_end::Final || m_callerLeft || (ended == attempt_end::Failed && !m_route->isRetryable)
-            || m_connectFailures >= maxConnectFailures || bootClockNow() + minTimeLeft >= targetDeadline();
+            || (m_connectFailures >= maxConnectFailures && !isToBeRelayed()) || bootClockNow() + minTimeLeft >= targetDeadline();
         if (isOver || !m_context.shutdown.accepts(bootClockNow(), m_deadline))
             co_return finalReply();
     }
 }
 
+auto request_handler::chooseService() -> std::string_view
+{
+    // The other node has counted the request towards the weights of the route. Its configuration may differ.
+    auto isChosen = m_relayed && std::ranges::any_of(m_route->services, [&](auto& entry) { return entry.service == m_relayed->service; });
+    return isChosen ? std::string_view(m_relayed->service) : m_context.roundRobinOf(*m_route).next();
+}
+
+auto request_handler::isToBeRelayed() const -> bool
+{
+    auto isWanted = hasLostPaths() || m_wantsRelay;
+    return isWanted && !m_relayed && !m_isRelayDenied && !m_callerLeft && request_relay(m_context).isPossible(m_dispatcher->service());
+}
+
+auto request_handler::relay() -> task<std::optional<caller_reply>>
+{
+    auto attempts = maxAttempts() - std::min(m_sent, maxAttempts());
+    auto request = relayed_request { m_request, m_body, { attempts, m_callerAddress, m_dispatcher->service() }, targetDeadline(), m_route->isRetryable };
+    auto result = co_await request_relay(m_context).send(std::move(request), m_connection);
+    m_connection.reset();
+    m_isRelayDenied = result.exchange.end == exchange_end::NotSent;
+    if (m_isRelayDenied)
+        co_return std::nullopt;
+    m_relayedTo = result.node;
+    auto& answer = result.exchange.answer;
+    // An answer without a signature is the other node's own. It does not know that this one may have sent the request to a target before.
+    auto isOwn = result.exchange.end == exchange_end::Answered && answer.find(wire_names::signature) == answer.end();
+    if (!isOwn) {
+        m_mayHaveRun = true;
+        m_last = std::move(result.exchange);
+    }
+    if (!isOwn || m_mayHaveRun)
+        co_return finalReply();
+    m_reason = "not_served_by_relay";
+    ++(answer.result_int() == 503 ? m_context.counters.refused : m_context.counters.unknownOutcomes);
+    removeHopByHopFields(answer);
+    co_return std::move(answer);
+}
+
 auto request_handler::mayRetry() -> bool
 {
-    if (m_sent >= m_route->maxAttempts || m_context.poisonRequests.isSuspect(m_identity, bootClockNow()))
+    if (m_sent >= maxAttempts() || m_context.poisonRequests.isSuspect(m_identity, bootClockNow()))
         return false;
     return std::exchange(m_hasRetry, false) || acquireRetry();
 }
@@ -171,13 +188,7 @@
 auto request_handler::acquireRetry() -> bool
 {
     auto now = bootClockNow();
-    auto& settings = m_context.settings;
-    // The callers of a host connect to a small group of nodes in each data centre, which share the reserve. Half of it is kept
-    // for the nodes that replace them when they fail.
-    auto group = m_context.memberView.group(m_route->host, settings.dataCentre, m_context.groupRequirement(), now);
-    auto isMember = std::ranges::find(group, settings.callerAddress) != group.end();
-    auto members = static_cast<double>(std::max<size_t>(settings.directoryNodes, group.size()) * settings.dataCentres.size());
-    if (m_dispatcher->retryBudget().tryConsume(now, isMember ? 0.5 / members : 0)) {
+    if (m_dispatcher->retryBudget().tryConsume(now, m_context.retryReserveShare(m_route->host, now))) {
         ++m_context.counters.retries;
         return true;
     }
@@ -196,6 +207,8 @@
     ++m_context.counters.newConnections;
     auto isOpen = co_await connection->connect(target.registration.address, std::min(targetDeadline(), now + connectTimeout));
     m_connection.reset();
+    if (!m_callerLeft && bootClockNow() < targetDeadline())
+        m_context.recordConnect(target.registration.service, target.registration.id, isOpen, now);
     if (isOpen)
         co_return connection;
     ++m_context.counters.connectFailures;
@@ -233,8 +246,10 @@
     if (!target.isClosed)
         m_context.connections.release(target.registration.id, connection);
     m_context.counters.responseTime.record(bootClockNow() - now);
-    if (result.end == exchange_end::Answered)
+    if (result.end == exchange_end::Answered) {
+        m_context.pathsTo(target.registration.service).recordAnswer(bootClockNow());
         m_context.onAnswerHead(target.registration, result.answer.base(), now);
+    }
     // An answer after a stall is recorded with the current time, so that it counteracts the evidence of the stall.
     co_return classify(used, result, hadStalled && result.end == exchange_end::Answered ? bootClockNow() : now);
 }
@@ -257,6 +272,8 @@
         m_context.onRequestLost(target, m_identity);
     if (m_callerLeft || result.end == exchange_end::Abandoned)
         return;
+    m_context.pathsTo(target->registration.service).recordNoAnswer(target->registration.id, sentAt, bootClockNow());
+    target->pathFailedAt = bootClockNow();
     auto kind = result.end == exchange_end::TimedOut ? outcome_kind::Stall : outcome_kind::Failure;
     m_context.recordOutcome(*target, kind, sentAt, result.end == exchange_end::TimedOut);
 }
@@ -303,8 +320,8 @@
 auto request_handler::handleStall() -> void
 {
     // Another target can still run the request in time. The closed connection signals the cancellation to the stalled target.
-    auto expectedTime = scaled(m_context.balancer.model(m_dispatcher->service()).meanResponseTime(), responseTimeMargin);
-    auto canRetry = m_route->isRetryable && m_sent < m_route->maxAttempts && bootClockNow() + expectedTime < m_deadline && !m_context.shutdown.hasBegun()
+    auto expectedTime = placement_request::expectedTime(m_context.balancer.model(m_dispatcher->service()).meanResponseTime());
+    auto canRetry = m_route->isRetryable && m_sent < maxAttempts() && bootClockNow() + expectedTime < m_deadline && !m_context.shutdown.hasBegun()
         && !m_context.poisonRequests.isSuspect(m_identity, bootClockNow());
     if (!canRetry || !m_connection || !acquireRetry())
         return;
@@ -323,24 +340,14 @@
         m_connection->abandon();
 }
 
-auto request_handler::makeReply(unsigned status) const -> caller_reply
-{
-    auto reply = caller_reply(http::int_to_status(status), 11);
-    if (!m_id.empty())
-        reply.set(wire_names::requestId, m_id);
-    return reply;
-}
-
 auto request_handler::refuse(std::string_view reason, duration retryAfter) -> caller_reply
 {
     ++m_context.counters.refused;
     m_reason = reason;
-    auto reply = makeReply(503);
-    // Jitter, so that callers refused together do not retry together.
-    auto after = scaled(std::max(retryAfter, minRetryAfter), 1 + 0.5 * m_context.random.unit());
-    auto text = std::array<char, 32> {};
-    std::snprintf(text.data(), text.size(), "%.2f", after.seconds());
-    reply.set(http::field::retry_after, text.data());
+    auto reply = makeRefusal(m_id, retryAfter, m_context.random);
+    // Lets the node that relayed the request ask another one, unless the reason holds there too.
+    if (m_relayed && reason != noRoom && reason != quarantined)
+        reply.set(relay_fields::name, relay_fields::unavailable);
     return reply;
 }
 
@@ -355,21 +362,11 @@
         return reply;
     }
     if (!m_mayHaveRun)
-        return refuse(m_reason.empty() ? "not_placed" : m_reason, minRetryAfter);
+        return refuse(m_reason.empty() ? "not_placed" : m_reason, {});
     ++m_context.counters.unknownOutcomes;
     auto isLate = m_last.end == exchange_end::TimedOut;
     m_reason = isLate ? "target_timeout" : "answer_lost";
-    return makeReply(isLate ? 504 : 502);
-}
-
-auto request_handler::logPlacement(const target_state& target, double probabilityBad) -> void
-{
-    auto now = bootClockNow();
-    m_log.recordPlacement({ { "route", m_route->name }, { "routes_version", m_routes->version() }, { "target", target.registration.id },
-        { "data_centre", target.registration.dataCentre },
-        { "target_revision", revisionOf(target.registration.revision) }, { "attempt", m_sent + 1 }, { "waited_ms", (now - m_arrivedAt).milliseconds() },
-        { "probability_bad", probabilityBad }, { "evidence_age_ms", (now - target.health.lastEvidenceAt()).milliseconds() },
-        { "in_flight", target.inFlight }, { "waiting", m_dispatcher->waiting() } });
+    return makeReply(isLate ? 504 : 502, m_id);
 }
 
 auto request_handler::recordEnd(const caller_reply& reply) -> void
@@ -391,6 +388,8 @@
     }
     if (!m_tried.empty())
         fields["last_target"] = m_tried.back();
+    if (!m_relayedTo.empty())
+        fields["relayed_to"] = m_relayedTo;
     if (m_callerLeft)
         fields["caller_left"] = true;
     m_log.recordEnd(std::move(fields), isSuccess);
--- a/gypsumhub/gateway/request_handler.h
+++ b/gypsumhub/gateway/request_handler.h
@@ -1,19 +1,20 @@
 #pragma once
 
+#include "gypsumhub/gateway/caller_reply.h"
 #include "gypsumhub/gateway/gateway_context.h"
+#include "gypsumhub/gateway/relay_fields.h"
 #include "gypsumhub/gateway/request_log.h"
 #include "gypsumhub/proxy/request_reader.h"
 
+#include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace gypsumhub {
 
-/// The answer to a caller.
-using caller_reply = http::response<http::string_body>;
-
 /// Handles one request of a caller from its arrival to its answer: finds the route, waits for a target, sends the request, and
 /// retries it where that is allowed. Answers 503 (not run) only when no target can have begun to run the request.
 class request_handler : public std::enable_shared_from_this<request_handler> {
@@ -39,15 +40,19 @@
         NotSent,
     };
 
-    /// Holds the request for a limited time while the node starts and has no routes or targets yet.
-    auto awaitStartup() -> task<>;
     auto findRoute() -> void;
-    /// Sets the deadline from the route's timeout and the time left that the caller's request states.
-    auto readDeadline() -> void;
     /// The deadline, or the latest one that a target may be given during a shutdown if that is earlier.
     auto targetDeadline() const -> time_point;
     auto makePlacementRequest() -> placement_request;
     auto serve() -> task<caller_reply>;
+    auto chooseService() -> std::string_view;
+    auto hasLostPaths() const -> bool { return m_context.hasLostPaths(m_dispatcher->service()); }
+    /// Whether the request is to be sent to another node, since this one does not reach the targets.
+    auto isToBeRelayed() const -> bool;
+    /// Lets another node serve the request. Returns nullopt if none took it.
+    auto relay() -> task<std::optional<caller_reply>>;
+    /// The targets to which the request may be sent.
+    auto maxAttempts() const -> uint32_t { return m_relayed ? std::min(m_relayed->attempts, m_route->maxAttempts) : m_route->maxAttempts; }
     auto attempt(std::shared_ptr<target_state>, time_point sendBefore) -> task<attempt_end>;
     auto openConnection(target_state&) -> task<std::shared_ptr<target_http_connection>>;
     auto classify(const std::shared_ptr<target_state>&, exchange_result&, time_point sentAt) -> attempt_end;
@@ -57,16 +62,17 @@
     auto mayRetry() -> bool;
     auto acquireRetry() -> bool;
 
-    auto makeReply(unsigned status) const -> caller_reply;
     auto refuse(std::string_view reason, duration retryAfter) -> caller_reply;
     /// The answer of the last attempt, or without one 503 when the request did not run, otherwise 502 or 504.
     auto finalReply() -> caller_reply;
-    auto logPlacement(const target_state&, double probabilityBad) -> void;
     auto recordEnd(const caller_reply&) -> void;
 
     gateway_context& m_context;
     inbound_message m_request;
     std::string m_id;
+    std::string m_callerAddress;
+    /// Set for a request that another node has relayed to this one.
+    std::optional<relay_fields> m_relayed;
     request_identity m_identity;
     time_point m_arrivedAt;
     /// The arrival plus the timeout of the route, or the caller's deadline if that is earlier.
@@ -83,11 +89,15 @@
     /// A target may have begun to run the request.
     bool m_mayHaveRun { false };
     bool m_callerLeft { false };
+    bool m_wantsRelay { false };
+    /// No other node took the request.
+    bool m_isRelayDenied { false };
     /// Whether the retry budget was already charged for the next retry.
     bool m_hasRetry { false };
     exchange_result m_last;
     std::shared_ptr<placement_wait> m_wait;
     std::shared_ptr<target_http_connection> m_connection;
+    std::string m_relayedTo;
     std::string m_reason;
     request_log m_log;
 };
--- a/gypsumhub/gateway/request_log.cpp
+++ b/gypsumhub/gateway/request_log.cpp
@@ -1,5 +1,8 @@
 #include "gypsumhub/gateway/request_log.h"
 
+#include "gypsumhub/core/clock.h"
+#include "gypsumhub/core/store_position.h"
+
 #include <utility>
 
 namespace gypsumhub {
@@ -11,11 +14,15 @@
 {
 }
 
-auto request_log::recordPlacement(boost::json::object fields) -> void
+auto request_log::recordPlacement(const placement_fields& placed) -> void
 {
-    auto line = boost::json::object { { "time", logTimeNow() }, { "id", m_id } };
-    for (auto& field : fields)
-        line.emplace(field.key(), std::move(field.value()));
+    auto now = bootClockNow();
+    auto& registration = placed.target.registration;
+    auto line = boost::json::object { { "time", logTimeNow() }, { "id", m_id }, { "route", placed.used.name }, { "routes_version", placed.routesVersion },
+        { "target", registration.id }, { "data_centre", registration.dataCentre }, { "target_revision", revisionOf(registration.revision) },
+        { "attempt", placed.attempt }, { "waited_ms", (now - placed.arrivedAt).milliseconds() }, { "probability_bad", placed.probabilityBad },
+        { "evidence_age_ms", (now - placed.target.health.lastEvidenceAt()).milliseconds() }, { "in_flight", placed.target.inFlight },
+        { "waiting", placed.waiting } };
     if (m_isSampled)
         m_log.write(log_class::Routine, "request_placed", std::move(line));
     else
--- a/gypsumhub/gateway/request_log.h
+++ b/gypsumhub/gateway/request_log.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "gypsumhub/config/route_table.h"
+#include "gypsumhub/decision/selection/target_state.h"
 #include "gypsumhub/gateway/json_logger.h"
 
 #include <boost/json/object.hpp>
@@ -9,6 +11,17 @@
 
 namespace gypsumhub {
 
+/// The choice of a target for a request.
+struct placement_fields {
+    const route& used;
+    uint64_t routesVersion { 0 };
+    const target_state& target;
+    double probabilityBad { 0 };
+    uint32_t attempt { 1 };
+    time_point arrivedAt;
+    size_t waiting { 0 };
+};
+
 /// The log lines of one request. Those of a request that succeeds are sampled by its id, those of a request that fails are all
 /// written, at its end.
 class request_log {
@@ -16,7 +29,7 @@
     request_log(json_logger&, std::string_view requestId);
 
     /// Records that a target was chosen.
-    auto recordPlacement(boost::json::object fields) -> void;
+    auto recordPlacement(const placement_fields&) -> void;
     /// Records the end of the request.
     auto recordEnd(boost::json::object fields, bool isSuccess) -> void;
 
--- a/gypsumhub/gateway/service_dispatcher.cpp
+++ b/gypsumhub/gateway/service_dispatcher.cpp
@@ -87,6 +87,12 @@
         finish(wait.ticket, { placement_end::CallerLeft });
 }
 
+auto service_dispatcher::endWaits() -> void
+{
+    while (auto first = m_queue.first())
+        finish(first->ticket, { placement_end::PathsLost });
+}
+
 auto service_dispatcher::release(target_state& target) -> void
 {
     m_balancer.recordCompleted(target);
--- a/gypsumhub/gateway/service_dispatcher.h
+++ b/gypsumhub/gateway/service_dispatcher.h
@@ -4,6 +4,7 @@
 #include "gypsumhub/decision/selection/fleet_retry_budget.h"
 #include "gypsumhub/decision/selection/load_balancer.h"
 #include "gypsumhub/decision/selection/placement_queue.h"
+#include "gypsumhub/gateway/placement_request.h"
 
 #include <functional>
 #include <map>
@@ -21,18 +22,8 @@
     /// The service has no target that accepts requests.
     NoTarget,
     CallerLeft,
-};
-
-/// A request for a target.
-struct placement_request {
-    uint32_t priority { 0 };
-    bool isRetryable { false };
-    std::vector<std::string> tried;
-    time_point arrivedAt;
-    /// When the wait for a target ends.
-    time_point expiresAt;
-    /// From then on a free target is accepted although a better one is busy.
-    time_point acceptAnyAt;
+    /// The node has lost its paths to the targets.
+    PathsLost,
 };
 
 /// The result of a placement. On `Placed` a slot of the target is taken and must be freed with `service_dispatcher::release`.
@@ -65,6 +56,9 @@
     /// Refuses the requests that are still waiting at this time.
     auto limitWaits(time_point latest) -> void { m_queue.limitExpiry(latest); }
 
+    /// Ends all waits since the node has lost its paths to the targets.
+    auto endWaits() -> void;
+
     auto retryBudget() -> fleet_retry_budget& { return m_retryBudget; }
     auto inFlight() const -> uint32_t { return m_inFlight; }
     auto waiting() const -> size_t { return m_queue.size(); }
--- a/gypsumhub/gateway/target_http_connection.cpp
+++ b/gypsumhub/gateway/target_http_connection.cpp
@@ -43,6 +43,16 @@
 {
 }
 
+auto target_http_connection::bindTo(const std::string& address) -> void
+{
+    auto error = error_code {};
+    auto number = asio::ip::make_address(address, error);
+    if (error || number.is_unspecified())
+        return;
+    m_socket.open(number.is_v4() ? tcp::v4() : tcp::v6(), error);
+    m_socket.bind({ number, 0 }, error);
+}
+
 auto target_http_connection::connect(const endpoint& address, time_point deadline) -> task<bool>
 {
     auto parseError = error_code {};
--- a/gypsumhub/gateway/target_http_connection.h
+++ b/gypsumhub/gateway/target_http_connection.h
@@ -43,6 +43,8 @@
 public:
     target_http_connection(asio::io_context&, buffer_budget&);
 
+    /// Connects from this IP address instead of the one that the system chooses. Has no effect when it is not a specific address.
+    auto bindTo(const std::string& address) -> void;
     /// Opens the connection. Returns whether it is open by `deadline`.
     auto connect(const endpoint&, time_point deadline) -> task<bool>;
     /// Sends a request and reads the complete answer. Skips answers without the id of the request.
