--- a/unit_tests/gateway/lost_paths_test.cpp
+++ b/unit_tests/gateway/lost_paths_test.cpp
@@ -13,6 +13,10 @@
 
 constexpr auto stopLimit = milliseconds(2'000);
 constexpr auto targetsPerDataCentre = 3;
+// From the beginning of a partition until callers of the nodes concerned must be served.
+constexpr auto contactTime = seconds(3);
+// Until the nodes of a data centre know a new one: the reader reads the registrations every 2.5 s at most and sends them on.
+constexpr auto discoveryTime = milliseconds(3'000);
 constexpr auto allModes = { partition_mode::Silent, partition_mode::Reset, partition_mode::RefusesNew };
 
 auto sleepFor(int64_t ms) -> void
@@ -40,12 +44,35 @@
         sleepFor(1'500);
     }
 
-    auto cutFromTargets(int node, partition_mode mode) -> std::unique_ptr<network_partition>
+    auto cutFromTargets(const std::vector<int>& nodeIndices, partition_mode mode) -> std::unique_ptr<network_partition>
     {
+        auto threads = std::vector<pthread_t> {};
+        for (auto node : nodeIndices)
+            threads.push_back(threadOf(node));
         auto ports = std::set<uint16_t> {};
         for (auto& target : targets)
             ports.insert(target->port());
-        return std::make_unique<network_partition>(threadOf(node), std::move(ports), mode);
+        return std::make_unique<network_partition>(std::move(threads), std::move(ports), mode);
+    }
+
+    /// Starts more nodes in a1, with the indices from 3 on, and waits until all know each other.
+    auto startMoreNodes(int count) -> std::vector<int>
+    {
+        auto started = std::vector<int> {};
+        for (auto index = remoteNode + 1; index <= remoteNode + count; ++index) {
+            startNode(index);
+            started.push_back(index);
+        }
+        for (auto index : started)
+            REQUIRE(eventually([&] { return isReady(index); }));
+        sleepFor(discoveryTime.milliseconds());
+        return started;
+    }
+
+    /// The addresses in a node's answer to callers in a1, as text.
+    static auto directoryAnswer(int node) -> std::string
+    {
+        return sendRequest(addressOf(node, portOf(3)), http::verb::get, "/gypsumhub/resolve?name=h.example&region=a&data_centre=a1", "").body;
     }
 
     auto targetsServingIn(time_point from, time_point to) -> int
@@ -135,7 +162,7 @@
         auto remoteLoad = recorded_load(two_data_centres::remoteNode, 30);
         sleepFor(2'000);
         auto cutAt = bootClockNow();
-        auto partition = fleet.cutFromTargets(two_data_centres::cutNode, mode);
+        auto partition = fleet.cutFromTargets({ two_data_centres::cutNode }, mode);
         sleepFor(7'000);
         partition.reset();
         cutLoad.stop();
@@ -151,3 +178,49 @@
         }
     }
 }
+
+TEST_CASE("callers of nodes that reach no target are served, also while most nodes of the data centre are cut")
+{
+    constexpr auto minServedShare = 2.0 / 3;
+    for (auto mode : allModes) {
+        CAPTURE(static_cast<int>(mode));
+        auto fleet = two_data_centres();
+        auto cutNodes = fleet.startMoreNodes(5);
+        cutNodes.push_back(two_data_centres::cutNode);
+        auto loads = std::vector<std::unique_ptr<recorded_load>> {};
+        for (auto node : cutNodes)
+            loads.push_back(std::make_unique<recorded_load>(node, 6));
+        auto otherLoad = recorded_load(two_data_centres::helperNode, 6);
+        sleepFor(1'500);
+        auto cutAt = bootClockNow();
+        auto partition = fleet.cutFromTargets(cutNodes, mode);
+        sleepFor(8'000);
+        auto until = bootClockNow() - milliseconds(1'000);
+        auto sent = std::vector<ended_request> {};
+        for (auto& load : loads)
+            std::ranges::copy(load->sentIn(cutAt + contactTime, until), std::back_inserter(sent));
+        auto others = otherLoad.sentIn(cutAt + contactTime, until);
+        auto shareOf = [](auto& requests) { return static_cast<double>(servedCount(requests)) / static_cast<double>(requests.size()); };
+        CHECK(shareOf(others) > 0.9);
+        CHECK_MESSAGE(shareOf(sent) >= minServedShare * shareOf(others), "served ", servedCount(sent), " of ", sent.size());
+    }
+}
+
+TEST_CASE("callers are not sent to a node that reaches no target, and are sent there again after the cut")
+{
+    auto fleet = two_data_centres();
+    auto ownAddress = gateway_fixture::callerAddress(two_data_centres::cutNode).address + ":";
+    auto isNamed = [&] { return two_data_centres::directoryAnswer(two_data_centres::helperNode).find(ownAddress) != std::string::npos; };
+    REQUIRE(eventually(isNamed));
+    auto load = recorded_load(two_data_centres::cutNode, 20);
+    sleepFor(500);
+    auto cutAt = bootClockNow();
+    auto partition = fleet.cutFromTargets({ two_data_centres::cutNode }, partition_mode::Silent);
+    CHECK(eventually([&] { return !isNamed(); }));
+    CHECK((bootClockNow() - cutAt).milliseconds() < contactTime.milliseconds());
+    CHECK(two_data_centres::directoryAnswer(two_data_centres::cutNode).find(ownAddress) == std::string::npos);
+    partition.reset();
+    auto endedAt = bootClockNow();
+    CHECK(eventually(isNamed));
+    CHECK((bootClockNow() - endedAt).milliseconds() < contactTime.milliseconds());
+}
--- a/unit_tests/gateway/network_partition.h
+++ b/unit_tests/gateway/network_partition.h
@@ -3,10 +3,11 @@
 #include <cstdint>
 #include <pthread.h>
 #include <set>
+#include <vector>
 
 namespace gypsumhub {
 
-/// How connections between the partitioned node and the targets behave.
+/// How connections between the partitioned nodes and the targets behave.
 enum class partition_mode : uint8_t {
     /// New connections hang, and what is written to open ones is lost.
     Silent,
@@ -16,11 +17,11 @@
     RefusesNew,
 };
 
-/// Cuts the connections that one thread of this process opens to some ports, as a partition between one node and the targets does.
+/// Cuts the connections that some threads of this process open to some ports, as a partition between nodes and the targets does.
 /// Takes effect through the `connect` and `sendmsg` of this program. One partition at a time.
 class network_partition {
 public:
-    network_partition(pthread_t thread, std::set<uint16_t> ports, partition_mode);
+    network_partition(std::vector<pthread_t> threads, std::set<uint16_t> ports, partition_mode);
     /// Ends the partition.
     ~network_partition();
     network_partition(const network_partition&) = delete;
--- a/unit_tests/gateway/network_partition_test.cpp
+++ b/unit_tests/gateway/network_partition_test.cpp
@@ -2,6 +2,7 @@
 
 #include "unit_tests/gateway/raw_caller.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <mutex>
@@ -16,7 +17,7 @@
 namespace {
 
     struct cut {
-        pthread_t thread;
+        std::vector<pthread_t> threads;
         std::set<uint16_t> ports;
         partition_mode mode;
     };
@@ -41,7 +42,8 @@
         auto port = ntohs(reinterpret_cast<const sockaddr_in*>(address)->sin_port);
         auto lock = std::lock_guard(cutMutex());
         auto& current = currentCut();
-        auto isCut = current && ::pthread_equal(current->thread, ::pthread_self()) != 0 && current->ports.count(port) > 0;
+        auto isOwn = [](pthread_t thread) { return ::pthread_equal(thread, ::pthread_self()) != 0; };
+        auto isCut = current && current->ports.count(port) > 0 && std::ranges::any_of(current->threads, isOwn);
         return isCut ? std::optional(current->mode) : std::nullopt;
     }
 
@@ -68,11 +70,11 @@
 
 } // namespace
 
-network_partition::network_partition(pthread_t thread, std::set<uint16_t> ports, partition_mode mode)
+network_partition::network_partition(std::vector<pthread_t> threads, std::set<uint16_t> ports, partition_mode mode)
 {
     unresponsiveAddress();
     auto lock = std::lock_guard(cutMutex());
-    currentCut() = cut { thread, std::move(ports), mode };
+    currentCut() = cut { std::move(threads), std::move(ports), mode };
 }
 
 network_partition::~network_partition()
@@ -122,7 +124,7 @@
 
 namespace gypsumhub {
 
-TEST_CASE("a network partition hangs, refuses or spares the connections of one thread")
+TEST_CASE("a network partition hangs, refuses or spares the connections of a thread")
 {
     auto target = fake_gateway_target("127.0.0.1", "i-1");
     auto connectsWithin = [&](std::chrono::milliseconds limit) {
@@ -136,15 +138,15 @@
     constexpr auto limit = std::chrono::milliseconds(200);
     CHECK(connectsWithin(limit) == error_code {});
     {
-        auto partition = network_partition(::pthread_self(), { target.port() }, partition_mode::Silent);
+        auto partition = network_partition({ ::pthread_self() }, { target.port() }, partition_mode::Silent);
         CHECK_FALSE(connectsWithin(limit));
     }
     {
-        auto partition = network_partition(::pthread_self(), { target.port() }, partition_mode::RefusesNew);
+        auto partition = network_partition({ ::pthread_self() }, { target.port() }, partition_mode::RefusesNew);
         CHECK(connectsWithin(limit) == error_code(asio::error::connection_refused));
     }
     auto other = std::thread {};
-    auto partition = network_partition(other.native_handle(), { target.port() }, partition_mode::Silent);
+    auto partition = network_partition({ other.native_handle() }, { target.port() }, partition_mode::Silent);
     CHECK(connectsWithin(limit) == error_code {});
 }
 
