--- a/gypsumhub/decision/selection/membership_view.cpp
+++ b/gypsumhub/decision/selection/membership_view.cpp
@@ -142,7 +142,11 @@
     };
     auto hostHash = hashName(host);
     auto candidates = std::vector<candidate> {};
-    for (auto* node : availableNodes(dataCentre, now))
+    auto available = availableNodes(dataCentre, now);
+    // Without any other, these nodes relay what they receive.
+    if (std::ranges::any_of(available, [&](auto* node) { return hasPaths(*node, host); }))
+        std::erase_if(available, [&](auto* node) { return !hasPaths(*node, host); });
+    for (auto* node : available)
         candidates.push_back({ !node->size.covers(required.size), mixHashes(hostHash, hashName(node->name)), node });
     std::ranges::sort(candidates, {}, [](auto& entry) { return std::tuple(entry.isSmall, entry.rank); });
     auto needed = required.size;
@@ -319,11 +323,18 @@
     return names;
 }
 
-auto membership_view::helpers(time_point now) const -> std::vector<node_registration>
+auto membership_view::hasPaths(const node_registration& candidate, std::string_view host) const -> bool
+{
+    auto found = m_nodes.find(candidate.name);
+    auto& lost = found == m_nodes.end() ? m_ownLostHosts : found->second.hello.lostHosts;
+    return std::ranges::find(lost, host) == lost.end();
+}
+
+auto membership_view::helpers(std::string_view host, time_point now) const -> std::vector<node_registration>
 {
     auto local = std::vector<node_registration> {}, remote = std::vector<node_registration> {};
     for (auto& [name, other] : m_nodes) {
-        if (isAvailable(other, now))
+        if (isAvailable(other, now) && hasPaths(other.registration, host))
             (other.registration.dataCentre == m_own.dataCentre ? local : remote).push_back(other.registration);
     }
     return local.empty() ? remote : local;
--- a/gypsumhub/decision/selection/membership_view.h
+++ b/gypsumhub/decision/selection/membership_view.h
@@ -46,8 +46,13 @@
     uint64_t nodesDigest { 0 };
     /// What the callers of each host ask of the node.
     std::vector<host_demand> demands {};
+    /// Hosts with a service to whose targets the node has lost its paths, at most `maxHelloHosts`.
+    std::vector<std::string> lostHosts {};
 };
 
+/// Bounds the size of a hello.
+constexpr auto maxHelloHosts = size_t { 8 };
+
 /// The nodes of the fleet as seen by this node. Combines their registrations with the hellos received from them to choose the
 /// nodes that serve a host and the designated reader, which reads the target registrations for its data centre.
 class membership_view {
@@ -62,11 +67,12 @@
     auto recordUnregistration(std::string_view name, time_point now) -> void;
     auto recordHello(const node_hello&, time_point now) -> void;
     auto setOwnState(bool isReady, bool isLeaving) -> void;
+    auto setOwnLostHosts(std::vector<std::string> hosts) -> void { m_ownLostHosts = std::move(hosts); }
     auto setOwnDemands(std::vector<host_demand> demands) -> void { m_ownDemands = std::move(demands); }
 
     /// Caller addresses of the nodes of a data centre that serve a host (rendezvous hashing), the same on every node with the same
     /// view. Falls back to the nodes of all data centres when none of that one is available. Nodes that reach the required size
-    /// alone precede smaller ones. In the own data centre the measured load of the host can require more than that size.
+    /// alone precede smaller ones. Those that have lost their paths for the host are left out while there are others. In the own data centre the measured load of the host can require more than that size.
     auto group(std::string_view host, std::string_view dataCentre, const group_requirement&, time_point now) const -> std::vector<endpoint>;
     /// Whether this node is the designated reader: it reads the store itself because no other node reads for it.
     auto isReader(time_point now) const -> bool { return reader(now) == nullptr; }
@@ -87,8 +93,9 @@
     /// Names of the nodes that can issue the permits of a target, in this order (rendezvous hashing): nodes of its data centre, or of all
     /// when that one has none. The first one issues them. At most `maxPermitIssuers`.
     auto permitIssuers(std::string_view target, std::string_view dataCentre, time_point now) const -> std::vector<std::string>;
-    /// Nodes that can send requests to targets in place of this one: the active ones of its data centre, or without any those of others.
-    auto helpers(time_point now) const -> std::vector<node_registration>;
+    /// Nodes that can send requests for a host to targets in place of this one: the active ones of its data centre that have not lost
+    /// their paths, or without any those of other data centres.
+    auto helpers(std::string_view host, time_point now) const -> std::vector<node_registration>;
     /// Whether a registered node accepts callers at this IP address.
     auto isNodeAddress(std::string_view address) const -> bool;
     auto localPeers() const -> std::vector<node_registration>;
@@ -120,6 +127,8 @@
 
     /// Whether the node can serve callers: for a node of the own data centre `isActive`, for others their registration alone.
     auto isAvailable(const node&, time_point now) const -> bool;
+    /// Whether the node is not known to have lost its paths for the host.
+    auto hasPaths(const node_registration&, std::string_view host) const -> bool;
     /// The available nodes of a data centre, this one included, or those of all others when it has none.
     auto availableNodes(std::string_view dataCentre, time_point now) const -> std::vector<const node_registration*>;
     /// The size of the nodes that the callers of a host need together, by the recent hellos of this data centre.
@@ -142,6 +151,7 @@
     bool m_isReady { false };
     bool m_isLeaving { false };
     std::vector<host_demand> m_ownDemands;
+    std::vector<std::string> m_ownLostHosts;
     time_point m_startupGraceUntil {};
     std::map<std::string, node, std::less<>> m_nodes;
     /// Cached result of `dataCentreOrder`, cleared when a registration changes.
--- a/gypsumhub/gateway/gateway_context.cpp
+++ b/gypsumhub/gateway/gateway_context.cpp
@@ -83,6 +83,19 @@
     return found != paths.end() && found->second.areLost();
 }
 
+auto gateway_context::lostHosts() const -> std::vector<std::string>
+{
+    auto hosts = std::vector<std::string> {};
+    if (!routes || std::ranges::none_of(paths, [](auto& entry) { return entry.second.areLost(); }))
+        return hosts;
+    for (auto& used : routes->routes()) {
+        auto isLost = std::ranges::any_of(used.services, [&](auto& entry) { return hasLostPaths(entry.service); });
+        if (isLost && std::ranges::find(hosts, used.host) == hosts.end() && hosts.size() < maxHelloHosts)
+            hosts.push_back(used.host);
+    }
+    return hosts;
+}
+
 auto gateway_context::recordConnect(std::string_view service, std::string_view target, bool isOpen, time_point startedAt) -> void
 {
     if (isOpen)
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -61,6 +61,8 @@
     auto pathsTo(std::string_view service) -> path_monitor&;
     /// Whether this node has lost its paths to all targets of the service.
     auto hasLostPaths(std::string_view service) const -> bool;
+    /// Hosts with a service to whose targets this node has lost its paths, at most `maxHelloHosts`.
+    auto lostHosts() const -> std::vector<std::string>;
     /// Records the result of opening a connection to a target of the service.
     auto recordConnect(std::string_view service, std::string_view target, bool isOpen, time_point startedAt) -> void;
     /// Records an outcome received from another node.
--- a/gypsumhub/gateway/node_datagram.capnp
+++ b/gypsumhub/gateway/node_datagram.capnp
@@ -28,6 +28,8 @@
   viewAgeMs @4 :UInt32;
   nodesDigest @5 :UInt64;
   demands @6 :List(HostDemand);
+  # Hosts with a service to whose targets the node has lost its paths.
+  lostHosts @7 :List(Text);
 }
 
 # The load that the callers of one host put on the node.
--- a/gypsumhub/gateway/node_datagram.capnp.h
+++ b/gypsumhub/gateway/node_datagram.capnp.h
@@ -68,7 +68,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fd6dd7a62b49c67d, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fd6dd7a62b49c67d, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -435,6 +435,9 @@
   inline bool hasDemands() const;
   inline  ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
 
+  inline bool hasLostHosts() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLostHosts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -488,6 +491,14 @@
   inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::HostDemand,  ::capnp::Kind::STRUCT>> disownDemands();
 
+  inline bool hasLostHosts();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLostHosts();
+  inline void setLostHosts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setLostHosts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initLostHosts(unsigned int size);
+  inline void adoptLostHosts(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLostHosts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2080,6 +2091,44 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool NodeHello::Reader::hasLostHosts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeHello::Builder::hasLostHosts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader NodeHello::Reader::getLostHosts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeHello::Builder::getLostHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeHello::Builder::setLostHosts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void NodeHello::Builder::setLostHosts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeHello::Builder::initLostHosts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeHello::Builder::adoptLostHosts(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> NodeHello::Builder::disownLostHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool HostDemand::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/gypsumhub/gateway/node_datagram.cpp
+++ b/gypsumhub/gateway/node_datagram.cpp
@@ -50,6 +50,15 @@
         written.setStatedBeforeMs(toMilliseconds(now - limit.statedAt));
     }
 
+    auto writeLostHosts(wire::NodeHello::Builder written, std::span<const std::string> hosts) -> void
+    {
+        if (hosts.empty())
+            return;
+        auto list = written.initLostHosts(static_cast<uint32_t>(hosts.size()));
+        for (auto index = uint32_t { 0 }; index < list.size(); ++index)
+            list.set(index, hosts[index]);
+    }
+
     // Visitor that writes the content of a datagram into its Cap'n Proto message.
     struct content_writer {
         wire::NodeDatagram::Builder datagram;
@@ -64,6 +73,7 @@
             written.setViewDigest(hello.viewDigest);
             written.setViewAgeMs(toMilliseconds(hello.viewAge));
             written.setNodesDigest(hello.nodesDigest);
+            writeLostHosts(written, hello.lostHosts);
             if (hello.demands.empty())
                 return;
             auto demands = written.initDemands(static_cast<uint32_t>(hello.demands.size()));
@@ -175,6 +185,17 @@
         return demands;
     }
 
+    auto readLostHosts(wire::NodeHello::Reader hello) -> std::vector<std::string>
+    {
+        auto hosts = std::vector<std::string> {};
+        for (auto host : hello.getLostHosts()) {
+            if (hosts.size() == maxHelloHosts)
+                break;
+            hosts.emplace_back(host.cStr());
+        }
+        return hosts;
+    }
+
     auto readOutcomes(wire::NodeDatagram::Reader datagram, time_point now) -> std::vector<peer_outcome>
     {
         auto outcomes = std::vector<peer_outcome> {};
@@ -279,7 +300,7 @@
         case wire::NodeDatagram::HELLO: {
             auto hello = datagram.getHello();
             read.content = node_hello { read.sender, hello.getIsReady(), hello.getIsLeaving(), hello.getConfigurationVersion(),
-                hello.getViewDigest(), milliseconds(hello.getViewAgeMs()), hello.getNodesDigest(), readDemands(hello) };
+                hello.getViewDigest(), milliseconds(hello.getViewAgeMs()), hello.getNodesDigest(), readDemands(hello), readLostHosts(hello) };
             return read;
         }
         case wire::NodeDatagram::OUTCOMES:
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -156,7 +156,7 @@
 auto request_handler::relay() -> task<std::optional<caller_reply>>
 {
     auto attempts = maxAttempts() - std::min(m_sent, maxAttempts());
-    auto request = relayed_request { m_request, m_body, { attempts, m_callerAddress, m_dispatcher->service() }, targetDeadline(), m_route->isRetryable };
+    auto request = relayed_request { m_request, m_route->host, m_body, { attempts, m_callerAddress, m_dispatcher->service() }, targetDeadline(), m_route->isRetryable };
     auto result = co_await request_relay(m_context).send(std::move(request), m_connection);
     m_connection.reset();
     m_isRelayDenied = result.exchange.end == exchange_end::NotSent;
--- a/gypsumhub/gateway/request_relay.cpp
+++ b/gypsumhub/gateway/request_relay.cpp
@@ -35,9 +35,9 @@
     return denied == m_context.relayDeniedUntil.end() || bootClockNow() >= denied->second;
 }
 
-auto request_relay::candidates() -> std::vector<node_registration>
+auto request_relay::candidates(std::string_view host) -> std::vector<node_registration>
 {
-    auto nodes = m_context.memberView.helpers(bootClockNow());
+    auto nodes = m_context.memberView.helpers(host, bootClockNow());
     auto isNear = [&](auto& node) { return m_context.regionOf(node.dataCentre) == m_context.settings.region; };
     if (std::ranges::any_of(nodes, isNear))
         std::erase_if(nodes, [&](auto& node) { return !isNear(node); });
@@ -46,7 +46,7 @@
 
 auto request_relay::send(relayed_request request, std::shared_ptr<target_http_connection>& active) -> task<relay_result>
 {
-    auto nodes = candidates();
+    auto nodes = candidates(request.host);
     nodes.resize(std::min(nodes.size(), maxNodes));
     for (auto& node : nodes) {
         auto connection = co_await open(node, request, active);
--- a/gypsumhub/gateway/request_relay.h
+++ b/gypsumhub/gateway/request_relay.h
@@ -11,6 +11,8 @@
 /// A request to relay.
 struct relayed_request {
     const inbound_message& message;
+    /// Of the route.
+    std::string_view host;
     std::shared_ptr<const std::string> body;
     relay_fields fields;
     time_point deadline;
@@ -40,7 +42,7 @@
     auto open(const node_registration&, const relayed_request&, std::shared_ptr<target_http_connection>& active) -> task<std::shared_ptr<target_http_connection>>;
     auto exchange(std::shared_ptr<target_http_connection>, const relayed_request&) -> task<exchange_result>;
     /// Nodes to relay to, in order.
-    auto candidates() -> std::vector<node_registration>;
+    auto candidates(std::string_view host) -> std::vector<node_registration>;
 
     gateway_context& m_context;
 };
--- a/unit_tests/gateway/lost_paths_test.cpp
+++ b/unit_tests/gateway/lost_paths_test.cpp
@@ -224,3 +224,57 @@
     CHECK(eventually(isNamed));
     CHECK((bootClockNow() - endedAt).milliseconds() < contactTime.milliseconds());
 }
+
+TEST_CASE("a relayed request runs once and its answer is complete; one that meets a failing target is not run again")
+{
+    auto fleet = two_data_centres();
+    auto load = std::make_unique<recorded_load>(two_data_centres::cutNode, 20);
+    auto partition = fleet.cutFromTargets({ two_data_centres::cutNode }, partition_mode::Silent);
+    sleepFor(contactTime.milliseconds());
+    load.reset();
+    auto node = gateway_fixture::callerAddress(two_data_centres::cutNode);
+    for (auto count = 0; count < 20; ++count) {
+        auto id = "relayed-" + std::to_string(count);
+        auto answer = sendRequest(node, http::verb::post, "/unsafe/", id);
+        CHECK(answer.status == 200);
+        CHECK(answer.body.starts_with("from i-target"));
+        CHECK(fleet.executionsOf(id) == 1);
+    }
+    CHECK(fleet.linesOf("relayed-0").find("\"relayed_to\":\"n2\"") != std::string::npos);
+    // The target has run the request, so 503 would be wrong.
+    fleet.setBehaviour(target_behaviour::Drops);
+    CHECK(sendRequest(node, http::verb::post, "/unsafe/", "dropped").status == 502);
+    CHECK(fleet.executionsOf("dropped") == 1);
+    fleet.setBehaviour(target_behaviour::Fails);
+    CHECK(sendRequest(node, http::verb::post, "/unsafe/", "failed").status == 500);
+    CHECK(fleet.executionsOf("failed") == 1);
+    fleet.setBehaviour(target_behaviour::Fails);
+    CHECK(sendRequest(node, http::verb::get, "/safe/", "repeated").status == 500);
+    CHECK(fleet.executionsOf("repeated") <= 2);
+    // What can't be served is refused at once.
+    fleet.setBehaviour(target_behaviour::Sheds);
+    auto sentAt = bootClockNow();
+    auto refused = sendRequest(node, http::verb::post, "/unsafe/", "shed");
+    CHECK(refused.status == 503);
+    CHECK_FALSE(refused.retryAfter.empty());
+    CHECK(fleet.executionsOf("shed") == 0);
+    CHECK((bootClockNow() - sentAt).milliseconds() < 2'500);
+}
+
+TEST_CASE("a caller that leaves ends a relayed request that may be repeated")
+{
+    auto fleet = two_data_centres();
+    auto load = std::make_unique<recorded_load>(two_data_centres::cutNode, 20);
+    auto partition = fleet.cutFromTargets({ two_data_centres::cutNode }, partition_mode::Silent);
+    sleepFor(contactTime.milliseconds());
+    load.reset();
+    auto request = raw_request { .id = "left", .delayMs = 1'500 };
+    {
+        auto caller = raw_caller(gateway_fixture::callerAddress(two_data_centres::cutNode));
+        caller.send(request.text());
+        sleepFor(300);
+    }
+    auto lines = fleet.linesOf("left");
+    CHECK(lines.find("\"caller_left\":true") != std::string::npos);
+    CHECK(fleet.executionsOf("left") == 1);
+}
--- a/unit_tests/gateway/node_datagram_test.cpp
+++ b/unit_tests/gateway/node_datagram_test.cpp
@@ -83,7 +83,8 @@
 
     auto operator()(const node_hello& hello) -> bool
     {
-        return hello.demands.size() <= 8 && std::ranges::all_of(hello.demands, [&](auto& demand) { return addText(demand.host); });
+        auto areHostsShort = hello.lostHosts.size() <= maxHelloHosts && std::ranges::all_of(hello.lostHosts, [&](auto& host) { return addText(host); });
+        return areHostsShort && hello.demands.size() <= 8 && std::ranges::all_of(hello.demands, [&](auto& demand) { return addText(demand.host); });
     }
 
     auto operator()(const std::vector<peer_outcome>& outcomes) -> bool
@@ -145,10 +146,11 @@
 TEST_CASE("datagrams carry hellos, outcomes and registrations with ages instead of clock times")
 {
     auto later = now + seconds(1000);
-    auto hello = node_hello { "n1", true, false, 31, 99, milliseconds(250), 7, { { "h.example", 12.5, 0.25 } } };
+    auto hello = node_hello { "n1", true, false, 31, 99, milliseconds(250), 7, { { "h.example", 12.5, 0.25 } }, { "lost.example" } };
     auto read = decodeDatagram(encodeDatagram({ "n1", hello }, now), later);
     REQUIRE(read);
     CHECK(std::get<node_hello>(read->content).viewDigest == 99);
+    CHECK(std::get<node_hello>(read->content).lostHosts == std::vector<std::string> { "lost.example" });
     REQUIRE(std::get<node_hello>(read->content).demands.size() == 1);
     CHECK(std::get<node_hello>(read->content).demands.front().host == "h.example");
     CHECK(std::get<node_hello>(read->content).demands.front().requestsPerSecond == doctest::Approx(12.5));
