--- a/gypsumhub/config/section_reader.cpp
+++ b/gypsumhub/config/section_reader.cpp
@@ -50,6 +50,8 @@
         { "h", minutes(60) },
     });
 
+    // Sums of a few of them do not overflow.
+    constexpr auto maxDuration = minutes(366 * 24 * 60);
     constexpr auto addressHint = "write an IP address and a port, such as 127.0.0.1:8080 or [::1]:8080";
 
 } // namespace
@@ -84,7 +86,7 @@
         if (!text.ends_with(unit.suffix))
             continue;
         auto count = parseNumber<uint32_t>(trimBlanks(text.substr(0, text.size() - unit.suffix.size())));
-        if (count)
+        if (count && *count <= maxDuration / unit.length)
             return unit.length * *count;
     }
     return std::nullopt;
--- a/gypsumhub/config/section_reader.h
+++ b/gypsumhub/config/section_reader.h
@@ -18,7 +18,7 @@
 /// The text of an endpoint in the form that `parseEndpoint` accepts.
 auto formatEndpoint(const endpoint&) -> std::string;
 
-/// Parses a duration such as `500us`, `250ms`, `30s`, `5m` or `2h`; nothing when the text is invalid.
+/// Parses a duration such as `500us`, `250ms`, `30s`, `5m` or `2h`; nothing when the text is invalid or the duration exceeds a year.
 auto parseDuration(std::string_view) -> std::optional<duration>;
 
 /// The items of a comma-separated list, trimmed and without empty ones.
--- a/gypsumhub/core/time_point.h
+++ b/gypsumhub/core/time_point.h
@@ -15,6 +15,7 @@
     friend constexpr auto operator-(duration a, duration b) -> duration { return { a.ns - b.ns }; }
     friend constexpr auto operator*(duration a, int64_t factor) -> duration { return { a.ns * factor }; }
     friend constexpr auto operator/(duration a, int64_t divisor) -> duration { return { a.ns / divisor }; }
+    friend constexpr auto operator/(duration a, duration b) -> int64_t { return a.ns / b.ns; }
     /// Whole milliseconds, rounded down.
     constexpr auto milliseconds() const -> int64_t { return ns / 1'000'000; }
     /// Seconds with fraction.
--- a/unit_tests/platform/registration_document_test.cpp
+++ b/unit_tests/platform/registration_document_test.cpp
@@ -45,6 +45,19 @@
     CHECK((again.warmedUpAt == entry.warmedUpAt));
 }
 
+TEST_CASE("a warm-up that does not fit is refused instead of wrapping around")
+{
+    auto withWarmUp = [](const std::string& length) {
+        auto text = std::string(complete);
+        return text.replace(text.find("1500ms"), 6, length);
+    };
+    CHECK_FALSE(isRefused(withWarmUp("8784h")));
+    CHECK(isRefused(withWarmUp("8785h")));
+    CHECK(isRefused(withWarmUp("4294967295h")));
+    CHECK(isRefused(withWarmUp("4294967296s")));
+    CHECK(isRefused(withWarmUp("99999999999999999999s")));
+}
+
 TEST_CASE("an invalid entry is refused with a message that begins with its key")
 {
     auto text = std::string(complete);
