--- a/fakes/fake_gateway_target.cpp
+++ b/fakes/fake_gateway_target.cpp
@@ -208,6 +208,7 @@
 auto fake_gateway_target::serveRequests(asio::ip::tcp::socket& socket, const incarnation& current) -> void
 {
     auto buffer = boost::beast::flat_buffer {};
+    auto rejection = std::string {};
     for (;;) {
         auto request = http::request<http::string_body> {};
         auto error = boost::system::error_code {};
@@ -221,11 +222,15 @@
             send("HTTP/1.1 421 X\r\nRequest-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
             continue;
         }
-        if (behaviour == target_behaviour::Sheds) {
+        auto isRejecting = behaviour == target_behaviour::Sheds || (behaviour == target_behaviour::RepeatsRejection && rejection.empty());
+        if (isRejecting) {
             recordArrival(id, false, current);
-            send("HTTP/1.1 503 X\r\nRequest-Id: " + id + "\r\n" + limitLine() + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            rejection = "HTTP/1.1 503 X\r\nRequest-Id: " + id + "\r\n" + limitLine() + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            send(rejection);
             continue;
         }
+        if (behaviour == target_behaviour::RepeatsRejection)
+            send(rejection);
         if (!recordArrival(id, true, current))
             break;
         auto delay = std::string(request[delayField]);
--- a/fakes/target_answer.cpp
+++ b/fakes/target_answer.cpp
@@ -34,6 +34,12 @@
         return head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nzz\r\n";
     case target_behaviour::ResetsUnframed:
         return head + "\r\nhalf";
+    case target_behaviour::CutsStatusLine:
+        return "HTTP/1.1 20";
+    case target_behaviour::CutsField:
+        return head + "Content-Len";
+    case target_behaviour::CutsHead:
+        return head + "Content-Length: 9\r\n";
     default:
         return {};
     }
--- a/fakes/target_behaviour.h
+++ b/fakes/target_behaviour.h
@@ -28,6 +28,13 @@
     CutsChunks,
     SpoilsChunk,
     ResetsUnframed,
+    /// Runs the request and closes the connection in the middle of its answer's head: within the status line, within a field, or before the
+    /// line that ends it.
+    CutsStatusLine,
+    CutsField,
+    CutsHead,
+    /// Rejects the first request of a connection. Before the answer to each later one, which it runs, it writes that rejection once more.
+    RepeatsRejection,
 };
 
 } // namespace gypsumhub
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -200,7 +200,7 @@
 auto request_handler::openConnection(target_state& target) -> task<std::shared_ptr<target_http_connection>>
 {
     auto now = bootClockNow();
-    if (auto connection = m_context.connections.acquire(target.registration.id, m_route->isRetryable, now))
+    if (auto connection = m_context.connections.acquire(target.registration.id, m_id, m_route->isRetryable, now))
         co_return connection;
     auto connection = std::make_shared<target_http_connection>(m_context.io, m_context.answerBudget);
     m_connection = connection;
--- a/gypsumhub/gateway/request_relay.cpp
+++ b/gypsumhub/gateway/request_relay.cpp
@@ -68,7 +68,8 @@
 auto request_relay::open(const node_registration& node, const relayed_request& request, std::shared_ptr<target_http_connection>& active) -> task<std::shared_ptr<target_http_connection>>
 {
     auto now = bootClockNow();
-    if (auto kept = m_context.relayConnections.acquire(node.name, request.isRetryable, now))
+    auto id = request.message[wire_names::requestId];
+    if (auto kept = m_context.relayConnections.acquire(node.name, id, request.isRetryable, now))
         co_return kept;
     auto connection = std::make_shared<target_http_connection>(m_context.io, m_context.answerBudget);
     active = connection;
--- a/gypsumhub/gateway/target_connection_pool.cpp
+++ b/gypsumhub/gateway/target_connection_pool.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-auto target_connection_pool::acquire(std::string_view target, bool isRetryable, time_point now) -> std::shared_ptr<target_http_connection>
+auto target_connection_pool::acquire(std::string_view target, std::string_view requestId, bool isRetryable, time_point now) -> std::shared_ptr<target_http_connection>
 {
     auto found = m_idle.find(target);
     if (found == m_idle.end())
@@ -29,6 +29,8 @@
     while (!connections.empty()) {
         if (!isFresh(*connections.back(), isRetryable, now))
             return nullptr;
+        if (!connections.back()->mayCarry(requestId))
+            return nullptr;
         auto connection = std::move(connections.back());
         connections.pop_back();
         if (connection->isUsable())
--- a/gypsumhub/gateway/target_connection_pool.h
+++ b/gypsumhub/gateway/target_connection_pool.h
@@ -15,7 +15,7 @@
 public:
     /// Removes and returns an idle connection that is safe for the next request, or null. A request that must not run twice gets no
     /// connection that has been idle for long, because the target may be closing it at that moment.
-    auto acquire(std::string_view target, bool isRetryable, time_point now) -> std::shared_ptr<target_http_connection>;
+    auto acquire(std::string_view target, std::string_view requestId, bool isRetryable, time_point now) -> std::shared_ptr<target_http_connection>;
     /// Returns a connection to the pool after an exchange. Drops it when it is not reusable or the pool of the target is full.
     auto release(std::string_view target, std::shared_ptr<target_http_connection>) -> void;
     auto removeTarget(std::string_view target) -> void;
--- a/gypsumhub/gateway/target_http_connection.cpp
+++ b/gypsumhub/gateway/target_http_connection.cpp
@@ -3,6 +3,7 @@
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/platform/wire_names.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -17,6 +18,8 @@
     constexpr auto maxAnswerBytes = uint64_t { 16 * 1024 * 1024 };
     // A target that sends more interim (1xx) answers than this to one request does not send a final one.
     constexpr auto maxInterimAnswers = 8;
+    // Bounds the memory of a connection to a target that keeps rejecting requests.
+    constexpr auto maxFailedIds = size_t { 32 };
     // After more answers to other requests than this, the expected answer is not going to arrive.
     constexpr auto maxStrayAnswers = 3;
 
@@ -90,6 +93,11 @@
     });
 }
 
+auto target_http_connection::mayCarry(std::string_view requestId) const -> bool
+{
+    return !requestId.empty() && std::ranges::find(m_failedIds, requestId) == m_failedIds.end();
+}
+
 auto target_http_connection::isUsable() -> bool
 {
     if (!isReusable() || m_buffer.size() > 0)
@@ -134,6 +142,10 @@
         result.answer = {};
     }
     m_timer.disarm();
+    if (result.end == exchange_end::Answered && result.answer.result_int() / 100 != 2)
+        m_failedIds.push_back(request.id);
+    if (m_failedIds.size() > maxFailedIds)
+        m_isReusable = false;
     // If the target answered before the whole body was written, it would read the rest of the body as the next request.
     if (m_isWriting || m_buffer.size() > 0 || result.end != exchange_end::Answered)
         m_isReusable = false;
--- a/gypsumhub/gateway/target_http_connection.h
+++ b/gypsumhub/gateway/target_http_connection.h
@@ -8,6 +8,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace gypsumhub {
 
@@ -56,6 +58,9 @@
 
     /// Whether the last exchange left the connection in a state in which it can carry another one.
     auto isReusable() const -> bool { return m_isReusable && m_socket.is_open(); }
+    /// Whether a late copy of an earlier answer would not be taken for that to a request with this id. A request without an id needs a new
+    /// connection, as does one whose id an earlier request without success had, since only ids tell answers apart.
+    auto mayCarry(std::string_view requestId) const -> bool;
     /// Whether an idle connection has neither been closed by the target nor received unexpected bytes.
     auto isUsable() -> bool;
     /// Until when the target keeps the idle connection open according to its Keep-Alive field; `never` without one.
@@ -73,6 +78,8 @@
     tcp_socket m_socket;
     deadline_timer m_timer;
     beast::flat_buffer m_buffer;
+    /// Ids of the requests that were answered without success.
+    std::vector<std::string> m_failedIds;
     /// Of the exchange in progress.
     time_point m_deadline { never };
     time_point m_idleUntil { never };
