--- a/gypsumhub/decision/selection/membership_view.cpp
+++ b/gypsumhub/decision/selection/membership_view.cpp
@@ -143,9 +143,10 @@
     auto hostHash = hashName(host);
     auto candidates = std::vector<candidate> {};
     auto available = availableNodes(dataCentre, now);
+    auto lacksPaths = [&](auto* node) { return !hasPaths(*node, host); };
     // Without any other, these nodes relay what they receive.
-    if (std::ranges::any_of(available, [&](auto* node) { return hasPaths(*node, host); }))
-        std::erase_if(available, [&](auto* node) { return !hasPaths(*node, host); });
+    if (!std::ranges::all_of(available, lacksPaths))
+        std::erase_if(available, lacksPaths);
     for (auto* node : available)
         candidates.push_back({ !node->size.covers(required.size), mixHashes(hostHash, hashName(node->name)), node });
     std::ranges::sort(candidates, {}, [](auto& entry) { return std::tuple(entry.isSmall, entry.rank); });
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -36,12 +36,15 @@
     , m_request(std::move(request))
     , m_id(m_request[wire_names::requestId])
     , m_callerAddress(callerAddress)
-    , m_relayed(context.memberView.isNodeAddress(callerAddress) ? readRelayFields(m_request) : std::nullopt)
-    , m_identity(identityOf(m_request, m_relayed ? m_relayed->callerAddress : m_callerAddress))
+    , m_relayed(readRelayFields(m_request))
     , m_arrivedAt(arrivedAt)
     , m_deadline(arrivedAt)
     , m_log(context.log, m_id)
 {
+    // Only other nodes relay.
+    if (m_relayed && !context.memberView.isNodeAddress(callerAddress))
+        m_relayed.reset();
+    m_identity = identityOf(m_request, m_relayed ? m_relayed->callerAddress : m_callerAddress);
     findRoute();
 }
 
@@ -134,7 +137,7 @@
         // Another node may reach what this one does not.
         m_wantsRelay |= m_connectFailures >= connectFailuresToRelay;
         auto isOver = ended == attempt_end::Final || m_callerLeft || (ended == attempt_end::Failed && !m_route->isRetryable)
-            || (m_connectFailures >= maxConnectFailures && !isToBeRelayed()) || bootClockNow() + minTimeLeft >= targetDeadline();
+            || (m_connectFailures >= (hasLostPaths() ? 1 : maxConnectFailures) && !isToBeRelayed()) || bootClockNow() + minTimeLeft >= targetDeadline();
         if (isOver || !m_context.shutdown.accepts(bootClockNow(), m_deadline))
             co_return finalReply();
     }
@@ -143,8 +146,8 @@
 auto request_handler::chooseService() -> std::string_view
 {
     // The other node has counted the request towards the weights of the route. Its configuration may differ.
-    auto isChosen = m_relayed && std::ranges::any_of(m_route->services, [&](auto& entry) { return entry.service == m_relayed->service; });
-    return isChosen ? std::string_view(m_relayed->service) : m_context.roundRobinOf(*m_route).next();
+    auto isRelayed = [&](auto& entry) { return m_relayed && entry.service == m_relayed->service; };
+    return std::ranges::any_of(m_route->services, isRelayed) ? m_relayed->service : m_context.roundRobinOf(*m_route).next();
 }
 
 auto request_handler::isToBeRelayed() const -> bool
@@ -237,8 +240,7 @@
     auto request = outbound_request { std::move(head), m_body, m_id, m_request.method() == http::verb::head };
     ++m_sent;
     m_connection = connection;
-    auto active = m_context.attempts.insert(m_context.attempts.end(),
-        { used, now, false, connection, [this] { handleStall(); } });
+    auto active = m_context.attempts.insert(m_context.attempts.end(), { used, now, false, connection, [this] { handleStall(); } });
     auto result = co_await connection->exchange(request, targetDeadline());
     auto hadStalled = active->isStalled;
     m_context.attempts.erase(active);
