--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -160,7 +160,7 @@
 {
     auto attempts = maxAttempts() - std::min(m_sent, maxAttempts());
     auto request = relayed_request { m_request, m_route->host, m_body, { attempts, m_callerAddress, m_dispatcher->service() }, targetDeadline(), m_route->isRetryable };
-    auto result = co_await request_relay(m_context).send(std::move(request), m_connection);
+    auto result = co_await request_relay(m_context).send(std::move(request), m_connection, m_callerLeft);
     m_connection.reset();
     m_isRelayDenied = result.exchange.end == exchange_end::NotSent;
     if (m_isRelayDenied)
@@ -347,8 +347,8 @@
     ++m_context.counters.refused;
     m_reason = reason;
     auto reply = makeRefusal(m_id, retryAfter, m_context.random);
-    // Lets the node that relayed the request ask another one, unless the reason holds there too.
-    if (m_relayed && reason != noRoom && reason != quarantined)
+    // Lets the node that relayed the request ask another one, unless the reason holds there too. More rejections would exceed the attempts.
+    if (m_relayed && m_sent == 0 && reason != noRoom && reason != quarantined)
         reply.set(relay_fields::name, relay_fields::unavailable);
     return reply;
 }
--- a/gypsumhub/gateway/request_relay.cpp
+++ b/gypsumhub/gateway/request_relay.cpp
@@ -44,12 +44,14 @@
     return relayOrder(std::move(nodes), m_context.random);
 }
 
-auto request_relay::send(relayed_request request, std::shared_ptr<target_http_connection>& active) -> task<relay_result>
+auto request_relay::send(relayed_request request, std::shared_ptr<target_http_connection>& active, const bool& isCancelled) -> task<relay_result>
 {
     auto nodes = candidates(request.host);
     nodes.resize(std::min(nodes.size(), maxNodes));
     for (auto& node : nodes) {
         auto connection = co_await open(node, request, active);
+        if (isCancelled)
+            co_return relay_result {};
         if (!connection)
             continue;
         ++m_context.counters.relayed;
--- a/gypsumhub/gateway/request_relay.h
+++ b/gypsumhub/gateway/request_relay.h
@@ -35,8 +35,9 @@
     /// False for a while after no other node could serve a request for the service.
     auto isPossible(std::string_view service) const -> bool;
 
-    /// Exchanges the request with another node. `active` holds the connection in use, to abandon the exchange.
-    auto send(relayed_request, std::shared_ptr<target_http_connection>& active) -> task<relay_result>;
+    /// Exchanges the request with another node. `active` holds the connection in use, to abandon the exchange. No node is asked any more
+    /// once `isCancelled`.
+    auto send(relayed_request, std::shared_ptr<target_http_connection>& active, const bool& isCancelled) -> task<relay_result>;
 
 private:
     auto open(const node_registration&, const relayed_request&, std::shared_ptr<target_http_connection>& active) -> task<std::shared_ptr<target_http_connection>>;
--- a/unit_tests/decision/selection/lost_hosts_test.cpp
+++ b/unit_tests/decision/selection/lost_hosts_test.cpp
@@ -1,4 +1,4 @@
-#include "gypsumhub/decision/selection/membership_view.h"
+#include "unit_tests/decision/selection/member_nodes.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -7,24 +7,6 @@
 
 namespace {
 
-auto at(int64_t ms) -> time_point
-{
-    return time_point {} + milliseconds(ms);
-}
-
-auto makeNode(const std::string& name, const std::string& dataCentre = "a1") -> node_registration
-{
-    return { name, dataCentre, { name, 80 }, { name, 90 } };
-}
-
-auto makeHello(const std::string& name) -> node_hello
-{
-    auto hello = node_hello {};
-    hello.name = name;
-    hello.isReady = true;
-    return hello;
-}
-
 // The view of n1 in a data centre of three nodes.
 auto makeView() -> membership_view
 {
--- a/unit_tests/decision/selection/membership_view_test.cpp
+++ b/unit_tests/decision/selection/membership_view_test.cpp
@@ -1,6 +1,7 @@
 #include "gypsumhub/decision/selection/membership_view.h"
 
 #include "gypsumhub/decision/selection/watch_timing.h"
+#include "unit_tests/decision/selection/member_nodes.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -10,24 +11,6 @@
 
 namespace {
 
-auto at(int64_t ms) -> time_point
-{
-    return time_point {} + milliseconds(ms);
-}
-
-auto makeNode(const std::string& name, const std::string& dataCentre = "a1") -> node_registration
-{
-    return { name, dataCentre, { name, 80 }, { name, 90 } };
-}
-
-auto makeHello(const std::string& name) -> node_hello
-{
-    auto hello = node_hello {};
-    hello.name = name;
-    hello.isReady = true;
-    return hello;
-}
-
 auto makeView(const std::string& own) -> membership_view
 {
     auto memberView = membership_view(makeNode(own));
--- a/unit_tests/gateway/lost_paths_test.cpp
+++ b/unit_tests/gateway/lost_paths_test.cpp
@@ -262,6 +262,24 @@
     CHECK((bootClockNow() - sentAt).milliseconds() < 2'500);
 }
 
+TEST_CASE("a relayed request that targets reject is not relayed again to other nodes")
+{
+    auto fleet = two_data_centres();
+    fleet.startMoreNodes(2);
+    auto load = std::make_unique<recorded_load>(two_data_centres::cutNode, 20);
+    auto partition = fleet.cutFromTargets({ two_data_centres::cutNode }, partition_mode::Silent);
+    sleepFor(contactTime.milliseconds());
+    load.reset();
+    fleet.setBehaviour(target_behaviour::Sheds);
+    CHECK(sendRequest(gateway_fixture::callerAddress(two_data_centres::cutNode), http::verb::post, "/unsafe/", "rejected").status == 503);
+    auto arrivals = int64_t { 0 };
+    for (auto& target : fleet.targets)
+        arrivals += std::ranges::count(target->arrivals(), "rejected", &recorded_request::requestId);
+    CHECK(arrivals >= 1);
+    // The route allows two targets.
+    CHECK(arrivals <= 2);
+}
+
 TEST_CASE("a caller that leaves ends a relayed request that may be repeated")
 {
     auto fleet = two_data_centres();
