--- a/gypsumhub/decision/selection/load_balancer.cpp
+++ b/gypsumhub/decision/selection/load_balancer.cpp
@@ -139,6 +139,14 @@
     return static_cast<double>(serving) < minServingShare * usable;
 }
 
+auto load_balancer::idleCount(std::string_view service, duration idle, time_point now) -> size_t
+{
+    return static_cast<size_t>(std::ranges::count_if(serviceOf(service).targets, [&](auto& target) {
+        auto isUsable = !target->registration.isDraining && !target->isClosed && target->registration.dataCentre == m_dataCentre;
+        return isUsable && target->inFlight == 0 && now >= target->lastChosenAt + idle;
+    }));
+}
+
 auto load_balancer::addOutlook(selection& chosen, const target_limit* limit, bool isFull, time_point now) const -> void
 {
     if (limit && chosen.usable == 1)
--- a/gypsumhub/decision/selection/load_balancer.h
+++ b/gypsumhub/decision/selection/load_balancer.h
@@ -4,6 +4,7 @@
 #include "gypsumhub/core/random_generator.h"
 #include "gypsumhub/decision/selection/held_permits.h"
 #include "gypsumhub/decision/selection/known_limits.h"
+#include "gypsumhub/decision/selection/outcome_relevance.h"
 #include "gypsumhub/decision/selection/permit_outlook.h"
 #include "gypsumhub/decision/selection/service_model.h"
 #include "gypsumhub/decision/selection/target_state.h"
@@ -42,12 +43,6 @@
     std::optional<permit_outlook> outlook {};
 };
 
-/// The probability that a target is in the bad state, before and after an outcome.
-struct health_change {
-    double before { 0 };
-    double after { 0 };
-};
-
 /// The targets known to a node, with the load, health and response times observed at them. Chooses the target with the least
 /// expected loss, in units of one lost request.
 class load_balancer {
@@ -84,6 +79,8 @@
     auto recordFull(target_state&, time_point now) -> void;
 
     auto model(std::string_view service) -> service_model&;
+    /// The targets of the service in this data centre that accept requests and have received none from this node for `idle`.
+    auto idleCount(std::string_view service, duration idle, time_point now) -> size_t;
     auto targetsOf(std::string_view service) -> const std::vector<std::shared_ptr<target_state>>& { return serviceOf(service).targets; }
     /// The rate limits of the targets, and the permits of this node to send requests to them.
     auto limits() -> known_limits& { return m_limits; }
--- a/gypsumhub/gateway/gateway_context.cpp
+++ b/gypsumhub/gateway/gateway_context.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-    // A failure is not sent to the other nodes when the target was already bad with at least this probability.
-    constexpr auto maxInformativeFailure = 0.95;
-    // A success is sent to the other nodes only when the target was bad with more than this probability.
-    constexpr auto minInformativeSuccess = 0.15;
     constexpr auto startupCheckInterval = milliseconds(10);
     // A target is logged as ejected or reinstated when its probability of being bad crosses this threshold.
     constexpr auto ejectionThreshold = 0.5;
@@ -113,8 +109,7 @@
         target.pathFailedAt = bootClockNow();
     auto change = balancer.observe(target, kind, sentAt, bootClockNow());
     logHealthChange(target, change, kind, settings.name);
-    auto isInformative = kind == outcome_kind::Failure ? change.before < maxInformativeFailure : kind == outcome_kind::Success && change.before > minInformativeSuccess;
-    if (!isInformative || mayBePath || !broadcastOutcomes)
+    if (!isInformative(kind, change) || mayBePath || !broadcastOutcomes)
         return;
     ++counters.outcomesSent;
     broadcastOutcomes({ { target.registration.id, target.registration.incarnation, kind == outcome_kind::Failure, sentAt } });
@@ -140,7 +135,8 @@
     constexpr auto names = std::to_array<std::string_view>({ "success", "failure", "stall" });
     log.write(log_class::Notable, change.after < ejectionThreshold ? "target_reinstated" : "target_set_aside",
         { { "target", target.registration.id }, { "service", target.registration.service }, { "outcome", names[static_cast<size_t>(kind)] },
-            { "seen_by", seenBy }, { "probability_before", change.before }, { "probability_after", change.after } });
+            { "seen_by", seenBy }, { "probability_before", change.before }, { "probability_after", change.after },
+            { "long_run_probability", balancer.model(target.registration.service).rates().stationaryProbabilityBad() } });
 }
 
 auto gateway_context::regionOf(std::string_view dataCentre) const -> std::string
--- a/gypsumhub/gateway/gateway_metrics.cpp
+++ b/gypsumhub/gateway/gateway_metrics.cpp
@@ -19,6 +19,9 @@
         { "request_seconds", "From the arrival of a request to its answer.", &gateway_counters::totalTime },
     });
 
+    // A sound target without work for this long counts as unused.
+    constexpr auto idleTargetTime = seconds(2);
+
     auto addHistogram(metric_set& metrics, const histogram_row& row, const latency_histogram& histogram) -> void
     {
         auto name = std::string(row.name);
@@ -35,8 +38,9 @@
 
 } // namespace
 
-auto formatGatewayMetrics(const gateway_context& context, uint64_t storeCalls) -> std::string
+auto formatGatewayMetrics(gateway_context& context, uint64_t storeCalls) -> std::string
 {
+    auto now = bootClockNow();
     auto metrics = metric_set {};
     for (auto& row : counterTable())
         metrics.addCounter(row.name, row.help, static_cast<double>(context.counters.*row.value));
@@ -60,6 +64,10 @@
     metrics.addGauge("limited_targets", "Targets that state a limit on their request rate.", static_cast<double>(context.balancer.limits().count()));
     for (auto& [service, dispatcher] : context.dispatchers) {
         metrics.addGauge("waiting_requests", "Requests waiting for a target.", static_cast<double>(dispatcher->waiting()), { { "service", service } });
+        auto& rates = context.balancer.model(service).rates();
+        metrics.addGauge("target_failure_probability", "Learned probability that a request to a good target fails.", rates.failureRateGood, { { "service", service } });
+        metrics.addGauge("target_bad_probability", "Learned long-run probability that a target is bad.", rates.stationaryProbabilityBad(), { { "service", service } });
+        metrics.addGauge("idle_targets", "Targets of the node's data centre to which it has sent nothing for 2 s.", static_cast<double>(context.balancer.idleCount(service, idleTargetTime, now)), { { "service", service } });
         metrics.addGauge("requests_at_targets", "Requests in flight at targets.", dispatcher->inFlight(), { { "service", service } });
     }
     return metrics.toText();
--- a/gypsumhub/gateway/gateway_node.h
+++ b/gypsumhub/gateway/gateway_node.h
@@ -61,6 +61,6 @@
 };
 
 /// Formats the metrics page in the Prometheus text format.
-auto formatGatewayMetrics(const gateway_context&, uint64_t storeCalls) -> std::string;
+auto formatGatewayMetrics(gateway_context&, uint64_t storeCalls) -> std::string;
 
 } // namespace gypsumhub
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -130,7 +130,7 @@
             co_return m_mayHaveRun ? finalReply() : refuse(m_reason, retryAfter);
         }
         m_context.counters.queueingDelay.record(bootClockNow() - m_arrivedAt);
-        m_log.recordPlacement(placement_fields { *m_route, m_routes->version(), *placed.target, placed.probabilityBad, m_sent + 1, m_arrivedAt, m_dispatcher->waiting() });
+        m_log.recordPlacement(placement_fields { *m_route, m_routes->version(), *placed.target, placed.probabilityBad, m_sent + 1, m_arrivedAt, m_dispatcher->waiting(), placed.targetIdleTime });
         auto ended = co_await attempt(placed.target, placed.sendBefore);
         m_dispatcher->release(*placed.target);
         m_tried.push_back(placed.target->registration.id);
--- a/gypsumhub/gateway/request_log.cpp
+++ b/gypsumhub/gateway/request_log.cpp
@@ -21,8 +21,8 @@
     auto line = boost::json::object { { "time", logTimeNow() }, { "id", m_id }, { "route", placed.used.name }, { "routes_version", placed.routesVersion },
         { "target", registration.id }, { "data_centre", registration.dataCentre }, { "target_revision", revisionOf(registration.revision) },
         { "attempt", placed.attempt }, { "waited_ms", (now - placed.arrivedAt).milliseconds() }, { "probability_bad", placed.probabilityBad },
-        { "evidence_age_ms", (now - placed.target.health.lastEvidenceAt()).milliseconds() }, { "in_flight", placed.target.inFlight },
-        { "waiting", placed.waiting } };
+        { "evidence_age_ms", (now - placed.target.health.lastEvidenceAt()).milliseconds() }, { "idle_ms", placed.idleTime.milliseconds() },
+        { "in_flight", placed.target.inFlight }, { "waiting", placed.waiting } };
     if (m_isSampled)
         m_log.write(log_class::Routine, "request_placed", std::move(line));
     else
--- a/gypsumhub/gateway/request_log.h
+++ b/gypsumhub/gateway/request_log.h
@@ -20,6 +20,8 @@
     uint32_t attempt { 1 };
     time_point arrivedAt;
     size_t waiting { 0 };
+    /// How long this node had sent the target nothing before; zero if it never had.
+    duration idleTime;
 };
 
 /// The log lines of one request. Those of a request that succeeds are sampled by its id, those of a request that fails are all
--- a/gypsumhub/gateway/service_dispatcher.cpp
+++ b/gypsumhub/gateway/service_dispatcher.cpp
@@ -39,9 +39,10 @@
         return placement { placement_end::NoTarget };
     if (!chosen.target || (chosen.shouldWait && now < request.acceptAnyAt))
         return std::nullopt;
+    auto idleTime = chosen.target->lastChosenAt == time_point {} ? duration {} : now - chosen.target->lastChosenAt;
     auto sendBefore = m_balancer.recordSent(*chosen.target, now);
     ++m_inFlight;
-    return placement { placement_end::Placed, chosen.target, chosen.probabilityBad, {}, sendBefore };
+    return placement { placement_end::Placed, chosen.target, chosen.probabilityBad, {}, sendBefore, idleTime };
 }
 
 auto service_dispatcher::place(placement_request request, std::shared_ptr<placement_wait>& handle) -> task<placement>
--- a/gypsumhub/gateway/service_dispatcher.h
+++ b/gypsumhub/gateway/service_dispatcher.h
@@ -34,6 +34,8 @@
     duration predictedWait;
     /// The permit to send the request to the target ends then.
     time_point sendBefore { never };
+    /// How long this node had sent the target nothing before; zero if it never had.
+    duration targetIdleTime {};
 };
 
 /// A waiting request, and the handle to cancel its wait.
