--- a/gypsumhub/config/selection_settings.h
+++ b/gypsumhub/config/selection_settings.h
@@ -16,8 +16,8 @@
     double twiceAsSlowLoss { 0.1 };
     /// Loss of a failed request that can be retried. It loses little beyond its time.
     double retryableLoss { 0.3 };
-    /// Exploration bonus, subtracted for a target of the node's data centre that has served nothing since the node started, or that is idle
-    /// while many requests of the service fail or few of its targets serve. Keeps a service from depending on a few targets.
+    /// Exploration bonus, subtracted for a target of the node's data centre that has served nothing since the node started, and several
+    /// times for one that has been idle for long. Keeps a service from depending on a few targets.
     double explorationBonus { 0.25 };
     /// A request waits for a busy target when its expected loss is lower than that of the best free target by more than this.
     double waitMargin { 0.2 };
--- a/gypsumhub/decision/selection/load_balancer.cpp
+++ b/gypsumhub/decision/selection/load_balancer.cpp
@@ -1,5 +1,7 @@
 #include "gypsumhub/decision/selection/load_balancer.h"
 
+#include "gypsumhub/decision/selection/idle_urgency.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -20,26 +22,14 @@
     constexpr auto trialLoss = -10.0;
     // Time until all nodes have received the registration of a target that joined.
     constexpr auto trialDelay = milliseconds(1000);
-    // A smaller share of a service's targets must not carry all of its load, even while nothing fails: when all gateway nodes lose
-    // power at once, which cannot be predicted, every caller's request that is in flight on those nodes fails.
-    constexpr auto minServingShare = 0.7;
-    // While a service fails or few of its targets serve, each target that may be good serves at least this often.
-    constexpr auto idleInterval = milliseconds(1000);
     constexpr auto maxProbabilityBadForBonus = 0.75;
-    // A service counts as failing when more than this share of its recent requests, about the last second, failed.
-    constexpr auto failingServiceShare = 0.08;
-    constexpr auto minOutcomes = 5.0;
-    constexpr auto outcomeDecayTime = seconds(1);
+    // A due trial of a target that is surely bad costs one lost request, four times the default bonus.
+    constexpr auto bonusesOfTrial = 4.0;
+    // One failure may be the ordinary one of a good target.
+    constexpr auto minFailuresOfBadPeriod = 2U;
     // Random tie break between equal targets, so that the nodes do not all choose the same one.
     constexpr auto tieBreakNoise = 0.005;
 
-    auto hasIdleBonus(const target_state& target, double bad, bool isSpreading, time_point now) -> bool
-    {
-        if (bad >= maxProbabilityBadForBonus)
-            return false;
-        return target.lastChosenAt == time_point {} || (isSpreading && now >= target.lastChosenAt + idleInterval);
-    }
-
     auto isFull(const target_state& target, time_point now) -> bool
     {
         return target.inFlight >= target.registration.slots || now < target.fullUntil;
@@ -89,6 +79,7 @@
     auto& service = serviceOf(registration.service);
     auto added = std::make_shared<target_state>(target_state { registration, health_estimate(now, service.model.rates()) });
     added->classifiedSince = now;
+    added->lastReportAt = now;
     if (isJoining && registration.dataCentre == m_dataCentre)
         added->trialDueAt = now + trialDelay;
     service.targets.push_back(added);
@@ -127,16 +118,24 @@
     return loss;
 }
 
-auto load_balancer::hasLowServingShare(const service_targets& service, time_point now) const -> bool
+auto load_balancer::mayRest(const service_targets& service, time_point now) const -> bool
 {
-    auto usable = 0U, serving = 0U;
+    auto usable = size_t { 0 }, resting = size_t { 0 };
     for (auto& target : service.targets) {
         if (target->registration.isDraining || target->isClosed || target->registration.dataCentre != m_dataCentre)
             continue;
         ++usable;
-        serving += now < target->lastChosenAt + idleInterval || target->inFlight > 0 ? 1 : 0;
+        resting += isResting(*target, now) ? 1 : 0;
     }
-    return static_cast<double>(serving) < minServingShare * usable;
+    return resting <= maxRestingTargets(usable);
+}
+
+auto load_balancer::explorationGain(const target_state& target, double bad, bool isRetryable, bool mayRest, time_point now) const -> double
+{
+    if (target.registration.dataCentre != m_dataCentre)
+        return 0;
+    auto isUntried = target.lastChosenAt == time_point {} && bad < maxProbabilityBadForBonus;
+    return m_settings.explorationBonus * ((isUntried ? 1 : 0) + bonusesOfTrial * idleUrgency(target, isRetryable, mayRest, now));
 }
 
 auto load_balancer::idleCount(std::string_view service, duration idle, time_point now) -> size_t
@@ -166,8 +165,7 @@
     constexpr auto none = std::numeric_limits<double>::infinity();
     auto& service = serviceOf(request.service);
     auto chosen = selection {};
-    auto isFailing = service.outcomes > minOutcomes && service.failures > failingServiceShare * service.outcomes;
-    auto isSpreading = isFailing || hasLowServingShare(service, now);
+    auto isRestAllowed = mayRest(service, now);
     auto minFreeLoss = none, minBusyLoss = none, minLossWithPermit = none;
     for (auto& target : service.targets) {
         if (target->registration.isDraining || target->isClosed || std::ranges::count(request.tried, target->registration.id) > 0)
@@ -182,18 +180,23 @@
             continue;
         }
         loss += m_random.unit() * tieBreakNoise;
-        if (now >= target->trialDueAt)
+        auto gain = explorationGain(*target, bad, request.isRetryable, isRestAllowed, now);
+        if (now >= target->trialDueAt) {
             loss = trialLoss;
-        else if (target->registration.dataCentre == m_dataCentre && hasIdleBonus(*target, bad, isSpreading, now))
-            loss -= m_settings.explorationBonus;
+            gain = 0;
+        }
         if (limit && !m_permits.has(limit->target, now)) {
             auto canAsk = now >= m_permits.deniedUntil(limit->target);
-            if (canAsk && loss < minLossWithPermit) {
-                minLossWithPermit = loss;
+            if (canAsk && loss - gain < minLossWithPermit) {
+                minLossWithPermit = loss - gain;
                 chosen.needsPermit = target;
             }
+            // The answer to a permit request takes one round trip. No request waits only to try a target.
+            if (canAsk)
+                minBusyLoss = std::min(minBusyLoss, loss);
             continue;
         }
+        loss -= gain;
         if (loss < minFreeLoss) {
             minFreeLoss = loss;
             chosen.target = target;
@@ -202,8 +205,6 @@
     }
     if (minLossWithPermit >= minFreeLoss)
         chosen.needsPermit.reset();
-    // The answer to a permit request takes one round trip.
-    minBusyLoss = std::min(minBusyLoss, minLossWithPermit);
     chosen.shouldWait = !chosen.target || minFreeLoss > minBusyLoss + m_settings.waitMargin;
     return chosen;
 }
@@ -231,16 +232,32 @@
     model.recordOutcome(kind, before);
     target.health.observe(kind, sentAt, now, model.rates());
     auto after = target.health.probabilityBad(now, model.rates());
-    if (!target.isClassifiedBad && after > badThreshold) {
+    target.lastReportAt = std::max(target.lastReportAt, std::min(sentAt, now));
+    if (kind == outcome_kind::Success) {
+        // An answer to an earlier request says nothing about the time after the failure.
+        if (sentAt >= target.lastFailureAt)
+            target.failuresInRow = 0;
+    } else {
+        ++target.failuresInRow;
+        target.lastFailureAt = now;
+    }
+    classify(target, after, now);
+    return { before, after };
+}
+
+auto load_balancer::classify(target_state& target, double bad, time_point now) -> void
+{
+    auto& model = serviceOf(target.registration.service).model;
+    if (!target.isClassifiedBad && bad > badThreshold && target.failuresInRow >= minFailuresOfBadPeriod) {
         model.recordGoodPeriod(now - target.classifiedSince);
         target.isClassifiedBad = true;
         target.classifiedSince = now;
-    } else if (target.isClassifiedBad && after < goodThreshold) {
-        model.recordBadPeriod(now - target.classifiedSince);
+    } else if (target.isClassifiedBad && bad < goodThreshold) {
+        // Ends with the last failure: the time after it, in which nobody tried the target, is no evidence.
+        model.recordBadPeriod(target.lastFailureAt - target.classifiedSince);
         target.isClassifiedBad = false;
         target.classifiedSince = now;
     }
-    return { before, after };
 }
 
 auto load_balancer::forgetPathFailures(std::string_view name, time_point since, time_point now) -> void
@@ -252,18 +269,10 @@
         target->health = health_estimate(now, service.model.rates());
         target->isClassifiedBad = false;
         target->classifiedSince = now;
+        target->failuresInRow = 0;
     }
 }
 
-auto load_balancer::recordEnd(std::string_view name, bool isServed, time_point now) -> void
-{
-    auto& service = serviceOf(name);
-    auto kept = std::exp(-(now - service.outcomesAt).seconds() / outcomeDecayTime.seconds());
-    service.outcomes = service.outcomes * kept + 1;
-    service.failures = service.failures * kept + (isServed ? 0 : 1);
-    service.outcomesAt = now;
-}
-
 auto load_balancer::recordResponseTime(target_state& target, duration responseTime) -> void
 {
     auto& model = serviceOf(target.registration.service).model;
--- a/gypsumhub/decision/selection/load_balancer.h
+++ b/gypsumhub/decision/selection/load_balancer.h
@@ -73,8 +73,6 @@
     /// Forgets the health of those targets of the service whose latest path failure was at `since` or later, as the fault was this
     /// node's.
     auto forgetPathFailures(std::string_view service, time_point since, time_point now) -> void;
-    /// Records the final result of a caller's request to the service, after all retries.
-    auto recordEnd(std::string_view service, bool isServed, time_point now) -> void;
     /// Starts a backoff after the target declined a request because it was full.
     auto recordFull(target_state&, time_point now) -> void;
 
@@ -93,16 +91,16 @@
     struct service_targets {
         service_model model;
         std::vector<std::shared_ptr<target_state>> targets;
-        /// Exponentially decaying counts of the requests that ended and of those that were not served, as of `outcomesAt`.
-        double outcomes { 0 };
-        double failures { 0 };
-        time_point outcomesAt {};
     };
 
     auto serviceOf(std::string_view name) -> service_targets&;
     auto expectedLoss(const target_state&, double bad, bool isRetryable, time_point now) const -> double;
-    /// Whether too small a share of the targets of this data centre has served recently.
-    auto hasLowServingShare(const service_targets&, time_point now) const -> bool;
+    /// Whether no more targets of this data centre rest than may.
+    auto mayRest(const service_targets&, time_point now) const -> bool;
+    /// Subtracted from the loss of a target of this data centre that needs a request.
+    auto explorationGain(const target_state&, double bad, bool isRetryable, bool mayRest, time_point now) const -> double;
+    /// Updates the mean state durations of the service when the classification of the target changes.
+    auto classify(target_state&, double bad, time_point now) -> void;
     /// Adds what the limit of a usable target allows. Called for all of them in turn, also with no limit.
     auto addOutlook(selection&, const target_limit*, bool isFull, time_point now) const -> void;
     /// Zero in the own data centre, otherwise `otherDataCentreLoss` or `otherRegionLoss` of the settings.
--- a/gypsumhub/decision/selection/target_state.h
+++ b/gypsumhub/decision/selection/target_state.h
@@ -20,8 +20,13 @@
     /// The current classification of the target as good or bad, and when it began.
     time_point classifiedSince {};
     bool isClassifiedBad { false };
-    /// When a request was last sent to the target; zero for never. A target that has idled for long can get a bonus.
+    /// Failures and stalls since the last success, and when the latest of them was seen.
+    uint32_t failuresInRow { 0 };
+    time_point lastFailureAt {};
+    /// When this node last sent the target a request; zero for never.
     time_point lastChosenAt {};
+    /// When the latest request was sent whose outcome is known, also that of another node. At first the time of the registration.
+    time_point lastReportAt {};
     /// From then on a trial request is due to a target that joined while this node was running and has no outcome yet.
     time_point trialDueAt { never };
     /// The latest failure that may lie in the network path to the target.
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -384,10 +384,8 @@
         fields["route"] = m_route->name;
         m_context.demand.recordBytes(m_route->host, m_request.body().size() + reply.body().size(), now);
     }
-    if (m_dispatcher) {
+    if (m_dispatcher)
         fields["in_flight"] = m_dispatcher->inFlight();
-        m_context.balancer.recordEnd(m_dispatcher->service(), isSuccess, now);
-    }
     if (!m_tried.empty())
         fields["last_target"] = m_tried.back();
     if (!m_relayedTo.empty())
