--- a/fakes/fake_gateway_target.cpp
+++ b/fakes/fake_gateway_target.cpp
@@ -148,10 +148,11 @@
     m_statedLimit = std::move(requestsPerSecond);
 }
 
-auto fake_gateway_target::limitLine() -> std::string
+auto fake_gateway_target::statementLines() -> std::string
 {
     auto lock = std::lock_guard(m_mutex);
-    return m_statedLimit.empty() ? std::string {} : "Server-Limit: " + m_statedLimit + "\r\n";
+    auto limit = m_statedLimit.empty() ? std::string {} : "Server-Limit: " + m_statedLimit + "\r\n";
+    return limit + (m_isLeaving ? "Server-Leaving: 1\r\n" : "");
 }
 
 auto fake_gateway_target::port() const -> uint16_t
@@ -225,7 +226,7 @@
         auto isRejecting = behaviour == target_behaviour::Sheds || (behaviour == target_behaviour::RepeatsRejection && rejection.empty());
         if (isRejecting) {
             recordArrival(id, false, current);
-            rejection = "HTTP/1.1 503 X\r\nRequest-Id: " + id + "\r\n" + limitLine() + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            rejection = "HTTP/1.1 503 X\r\nRequest-Id: " + id + "\r\n" + statementLines() + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
             send(rejection);
             continue;
         }
@@ -246,7 +247,7 @@
         }
         auto answer = makeAnswer(serviceTime > limit ? 504 : behaviour == target_behaviour::Fails ? 500
                                                                                                   : 200,
-            id, current.id, limitLine());
+            id, current.id, statementLines());
         if (auto endless = endlessBytes(behaviour); !endless.first.empty()) {
             send(endless.first);
             while (!error)
--- a/fakes/fake_gateway_target.h
+++ b/fakes/fake_gateway_target.h
@@ -40,6 +40,8 @@
     auto setServiceTime(duration serviceTime) -> void { m_serviceTimeNs = serviceTime.ns; }
     /// States a limit of this many requests per second in all answers; empty for none.
     auto setStatedLimit(std::string requestsPerSecond) -> void;
+    /// States in all answers that the target is leaving.
+    auto setLeaving(bool isLeaving) -> void { m_isLeaving = isLeaving; }
     auto arrivals() -> std::vector<recorded_request>;
     /// Number of times that the target ran the request.
     auto runs(const std::string& requestId) -> int;
@@ -64,8 +66,8 @@
     auto serve(boost::asio::ip::tcp::socket, const incarnation&) -> void;
     /// Serves requests until the connection ends. An error or a crash ends it early.
     auto serveRequests(boost::asio::ip::tcp::socket&, const incarnation&) -> void;
-    /// The header line of the stated limit.
-    auto limitLine() -> std::string;
+    /// The header lines of what the target states about itself.
+    auto statementLines() -> std::string;
     /// Returns false if the target has crashed.
     auto recordArrival(const std::string& requestId, bool isRun, const incarnation&) -> bool;
     /// Returns false if the target crashes before the time is over.
@@ -86,6 +88,7 @@
     std::atomic<target_behaviour> m_behaviour { target_behaviour::Normal };
     std::atomic<int64_t> m_serviceTimeNs { 0 };
     std::string m_statedLimit;
+    std::atomic<bool> m_isLeaving { false };
     std::vector<recorded_request> m_arrivals;
     std::vector<std::thread> m_connections;
     std::vector<int> m_sockets;
--- a/gypsumhub/decision/selection/load_balancer.cpp
+++ b/gypsumhub/decision/selection/load_balancer.cpp
@@ -80,6 +80,7 @@
     auto added = std::make_shared<target_state>(target_state { registration, health_estimate(now, service.model.rates()) });
     added->classifiedSince = now;
     added->lastReportAt = now;
+    added->leavingUntil = m_leaving.leavingUntil(registration.id, registration.incarnation);
     if (isJoining && registration.dataCentre == m_dataCentre)
         added->trialDueAt = now + trialDelay;
     service.targets.push_back(added);
@@ -122,7 +123,7 @@
 {
     auto usable = size_t { 0 }, resting = size_t { 0 };
     for (auto& target : service.targets) {
-        if (target->registration.isDraining || target->isClosed || target->registration.dataCentre != m_dataCentre)
+        if (!target->acceptsRequests(now) || target->registration.dataCentre != m_dataCentre)
             continue;
         ++usable;
         resting += isResting(*target, now) ? 1 : 0;
@@ -141,7 +142,7 @@
 auto load_balancer::idleCount(std::string_view service, duration idle, time_point now) -> size_t
 {
     return static_cast<size_t>(std::ranges::count_if(serviceOf(service).targets, [&](auto& target) {
-        auto isUsable = !target->registration.isDraining && !target->isClosed && target->registration.dataCentre == m_dataCentre;
+        auto isUsable = target->acceptsRequests(now) && target->registration.dataCentre == m_dataCentre;
         return isUsable && target->inFlight == 0 && now >= target->lastChosenAt + idle;
     }));
 }
@@ -168,7 +169,7 @@
     auto isRestAllowed = mayRest(service, now);
     auto minFreeLoss = none, minBusyLoss = none, minLossWithPermit = none;
     for (auto& target : service.targets) {
-        if (target->registration.isDraining || target->isClosed || std::ranges::count(request.tried, target->registration.id) > 0)
+        if (!target->acceptsRequests(now) || std::ranges::count(request.tried, target->registration.id) > 0)
             continue;
         ++chosen.usable;
         auto bad = target->health.probabilityBad(now, service.model.rates());
@@ -281,6 +282,26 @@
     model.recordResponseTime(responseTime);
 }
 
+auto load_balancer::recordLeavingAnswer(const leaving_target& stated, time_point now) -> bool
+{
+    auto isNew = m_leaving.recordAnswer(stated, now);
+    updateLeaving(stated.target);
+    return isNew;
+}
+
+auto load_balancer::recordLeavingReport(const leaving_target& stated, time_point now) -> bool
+{
+    auto isNew = m_leaving.recordReport(stated, now);
+    updateLeaving(stated.target);
+    return isNew;
+}
+
+auto load_balancer::updateLeaving(std::string_view id) -> void
+{
+    if (auto target = find(id))
+        target->leavingUntil = m_leaving.leavingUntil(id, target->registration.incarnation);
+}
+
 auto load_balancer::recordFull(target_state& target, time_point now) -> void
 {
     target.fullUntil = now + fullBackoff;
--- a/gypsumhub/decision/selection/load_balancer.h
+++ b/gypsumhub/decision/selection/load_balancer.h
@@ -4,6 +4,7 @@
 #include "gypsumhub/core/random_generator.h"
 #include "gypsumhub/decision/selection/held_permits.h"
 #include "gypsumhub/decision/selection/known_limits.h"
+#include "gypsumhub/decision/selection/leaving_targets.h"
 #include "gypsumhub/decision/selection/outcome_relevance.h"
 #include "gypsumhub/decision/selection/permit_outlook.h"
 #include "gypsumhub/decision/selection/service_model.h"
@@ -73,6 +74,9 @@
     /// Forgets the health of those targets of the service whose latest path failure was at `since` or later, as the fault was this
     /// node's.
     auto forgetPathFailures(std::string_view service, time_point since, time_point now) -> void;
+    /// Records that a target stated in an answer to this node, or to another one, that it is leaving. Returns whether that is new.
+    auto recordLeavingAnswer(const leaving_target&, time_point now) -> bool;
+    auto recordLeavingReport(const leaving_target&, time_point now) -> bool;
     /// Starts a backoff after the target declined a request because it was full.
     auto recordFull(target_state&, time_point now) -> void;
 
@@ -84,6 +88,7 @@
     auto limits() -> known_limits& { return m_limits; }
     auto limits() const -> const known_limits& { return m_limits; }
     auto permits() -> held_permits& { return m_permits; }
+    auto leavingTargets() const -> const leaving_targets& { return m_leaving; }
     auto targets() const -> const std::map<std::string, std::shared_ptr<target_state>, std::less<>>& { return m_targets; }
 
 private:
@@ -94,6 +99,7 @@
     };
 
     auto serviceOf(std::string_view name) -> service_targets&;
+    auto updateLeaving(std::string_view id) -> void;
     auto expectedLoss(const target_state&, double bad, bool isRetryable, time_point now) const -> double;
     /// Whether no more targets of this data centre rest than may.
     auto mayRest(const service_targets&, time_point now) const -> bool;
@@ -113,6 +119,7 @@
     random_generator m_random;
     known_limits m_limits;
     held_permits m_permits;
+    leaving_targets m_leaving;
     std::map<std::string, std::shared_ptr<target_state>, std::less<>> m_targets;
     std::map<std::string, service_targets, std::less<>> m_services;
 };
--- a/gypsumhub/decision/selection/target_state.h
+++ b/gypsumhub/decision/selection/target_state.h
@@ -33,6 +33,11 @@
     time_point pathFailedAt {};
     /// The target was removed, or its address belongs to another target. It receives no new requests.
     bool isClosed { false };
+    /// The target stated in an answer that it is leaving. It receives no new requests until then.
+    time_point leavingUntil {};
+
+    /// Whether the target takes new requests at all, now or when a slot is free.
+    auto acceptsRequests(time_point now) const -> bool { return !registration.isDraining && !isClosed && now >= leavingUntil; }
 };
 
 } // namespace gypsumhub
--- a/gypsumhub/gateway/gateway_counters.cpp
+++ b/gypsumhub/gateway/gateway_counters.cpp
@@ -33,6 +33,7 @@
         { "target_crashes_total", "Targets that ended with requests of this node in flight.", &gateway_counters::targetCrashes },
         { "quarantine_refusals_total", "Requests refused since they crash the targets that run them.", &gateway_counters::quarantineRefusals },
         { "malformed_limits_total", "Answers whose rate limit could not be read.", &gateway_counters::malformedLimits },
+        { "leaving_statements_total", "Targets that became known to be leaving by their answers to this node or another one.", &gateway_counters::leavingStatements },
         { "late_registrations_total", "Registrations read from the store that seemed older than the known ones.", &gateway_counters::lateRegistrations },
         { "permit_requests_total", "Requests of this node for permits of targets with a limit.", &gateway_counters::permitRequests },
         { "permits_granted_total", "Permits that this node granted.", &gateway_counters::permitsGranted },
--- a/gypsumhub/gateway/gateway_metrics.cpp
+++ b/gypsumhub/gateway/gateway_metrics.cpp
@@ -61,6 +61,7 @@
     metrics.addGauge("idle_target_connections", "Idle connections to targets.", static_cast<double>(context.connections.size()));
     metrics.addGauge("quarantined_requests", "Requests that are not sent to targets since they crash them.", static_cast<double>(context.poisonRequests.quarantinedCount()));
     metrics.addGauge("known_target_crashes", "Crashes of targets that are kept to find the requests that caused them.", static_cast<double>(context.poisonRequests.crashCount()));
+    metrics.addGauge("leaving_targets", "Targets that get no requests since they stated in an answer that they are leaving.", static_cast<double>(context.balancer.leavingTargets().count(now)));
     metrics.addGauge("limited_targets", "Targets that state a limit on their request rate.", static_cast<double>(context.balancer.limits().count()));
     for (auto& [service, dispatcher] : context.dispatchers) {
         metrics.addGauge("waiting_requests", "Requests waiting for a target.", static_cast<double>(dispatcher->waiting()), { { "service", service } });
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -37,6 +37,7 @@
     , m_peers(m_context.io, [this](std::optional<node_datagram> datagram, std::string_view address) { handleDatagram(std::move(datagram), address); })
     , m_crashes(m_context, [this](const node_datagram& datagram, std::span<const node_registration> receivers) { m_peers.send(datagram, receivers); })
     , m_limits(m_context, [this](const node_datagram& datagram, std::span<const node_registration> receivers) { m_peers.send(datagram, receivers); })
+    , m_leaving(m_context, [this](const node_datagram& datagram) { m_peers.send(datagram, peersInRegion()); })
     , m_paths(m_context, [this] { sendHello(); })
     , m_readiness(m_context.io, [this](std::string_view target) { return answerReadiness(target); })
     , m_directory(m_context.io, [this](std::string_view target) { return answerDirectory(target); })
@@ -49,7 +50,10 @@
     m_context.broadcastOutcomes = [this](std::vector<peer_outcome> outcomes) { m_peers.send({ m_context.settings.name, std::move(outcomes) }, peersInRegion()); };
     m_context.onRequestLost = [this](std::shared_ptr<target_state> target, const request_identity& lost) { m_crashes.checkTarget(std::move(target), lost); };
     m_context.onRequestSucceeded = [this](const request_identity& succeeded) { m_crashes.recordSuccess(succeeded); };
-    m_context.onAnswerHead = [this](const target_registration& target, const http::response_header<>& head, time_point sentAt) { m_limits.handleAnswer(target, head, sentAt); };
+    m_context.onAnswerHead = [this](const target_registration& target, const http::response_header<>& head, time_point sentAt) {
+        m_limits.handleAnswer(target, head, sentAt);
+        m_leaving.handleAnswer(target, head);
+    };
     m_context.onPermitsNeeded = [this] { m_limits.requestPermits(); };
 }
 
@@ -192,6 +196,8 @@
             m_context.recordPeerOutcome(outcome, datagram->sender);
     } else if (auto* changes = std::get_if<std::vector<view_change>>(&datagram->content))
         m_watcher.handleChanges(*changes);
+    else if (auto* leaving = std::get_if<std::vector<leaving_target>>(&datagram->content))
+        m_leaving.handleReport(*leaving, datagram->sender);
     else if (limit_watcher::handles(*datagram))
         m_limits.handleDatagram(*datagram);
     else
--- a/gypsumhub/gateway/gateway_node.h
+++ b/gypsumhub/gateway/gateway_node.h
@@ -4,6 +4,7 @@
 #include "gypsumhub/gateway/crash_watcher.h"
 #include "gypsumhub/gateway/gateway_context.h"
 #include "gypsumhub/gateway/http_responder.h"
+#include "gypsumhub/gateway/leaving_watcher.h"
 #include "gypsumhub/gateway/limit_watcher.h"
 #include "gypsumhub/gateway/path_prober.h"
 #include "gypsumhub/gateway/peer_channel.h"
@@ -48,6 +49,7 @@
     peer_channel m_peers;
     crash_watcher m_crashes;
     limit_watcher m_limits;
+    leaving_watcher m_leaving;
     path_prober m_paths;
     http_responder m_readiness;
     http_responder m_directory;
--- a/gypsumhub/gateway/node_datagram.capnp
+++ b/gypsumhub/gateway/node_datagram.capnp
@@ -17,6 +17,7 @@
     limits @7 :List(TargetLimit);
     permitRequest @8 :PermitRequest;
     permitGrant @9 :PermitGrant;
+    leaving @10 :List(LeavingTarget);
   }
 }
 
@@ -94,6 +95,12 @@
   statedBeforeMs @4 :UInt32;
 }
 
+# A target that stated in an answer that it is leaving.
+struct LeavingTarget {
+  target @0 :Text;
+  incarnation @1 :UInt64;
+}
+
 struct PermitRequest {
   limit @0 :TargetLimit;
   # Name of the node that receives the grant.
--- a/gypsumhub/gateway/node_datagram.capnp.h
+++ b/gypsumhub/gateway/node_datagram.capnp.h
@@ -25,6 +25,7 @@
 CAPNP_DECLARE_SCHEMA(8b46d8fbc1154af8);
 CAPNP_DECLARE_SCHEMA(8d165adab1575841);
 CAPNP_DECLARE_SCHEMA(afbe6f1ea23a68a3);
+CAPNP_DECLARE_SCHEMA(f5913f9693c6136f);
 CAPNP_DECLARE_SCHEMA(9f9d78aab867a0b1);
 CAPNP_DECLARE_SCHEMA(86c74937658e1c0f);
 
@@ -50,6 +51,7 @@
     LIMITS,
     PERMIT_REQUEST,
     PERMIT_GRANT,
+    LEAVING,
   };
 
   struct _capnpPrivate {
@@ -180,6 +182,21 @@
   };
 };
 
+struct LeavingTarget {
+  LeavingTarget() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f5913f9693c6136f, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PermitRequest {
   PermitRequest() = delete;
 
@@ -269,6 +286,10 @@
   inline bool hasPermitGrant() const;
   inline  ::gypsumhub::wire::PermitGrant::Reader getPermitGrant() const;
 
+  inline bool isLeaving() const;
+  inline bool hasLeaving() const;
+  inline  ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>::Reader getLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -377,6 +398,14 @@
   inline void adoptPermitGrant(::capnp::Orphan< ::gypsumhub::wire::PermitGrant>&& value);
   inline ::capnp::Orphan< ::gypsumhub::wire::PermitGrant> disownPermitGrant();
 
+  inline bool isLeaving();
+  inline bool hasLeaving();
+  inline  ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>::Builder getLeaving();
+  inline void setLeaving( ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>::Builder initLeaving(unsigned int size);
+  inline void adoptLeaving(::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>> disownLeaving();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1238,6 +1267,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class LeavingTarget::Reader {
+public:
+  typedef LeavingTarget Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeavingTarget::Builder {
+public:
+  typedef LeavingTarget Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeavingTarget::Pipeline {
+public:
+  typedef LeavingTarget Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PermitRequest::Reader {
 public:
   typedef PermitRequest Reads;
@@ -1973,6 +2088,60 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool NodeDatagram::Reader::isLeaving() const {
+  return which() == NodeDatagram::LEAVING;
+}
+inline bool NodeDatagram::Builder::isLeaving() {
+  return which() == NodeDatagram::LEAVING;
+}
+inline bool NodeDatagram::Reader::hasLeaving() const {
+  if (which() != NodeDatagram::LEAVING) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeDatagram::Builder::hasLeaving() {
+  if (which() != NodeDatagram::LEAVING) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>::Reader NodeDatagram::Reader::getLeaving() const {
+  KJ_IREQUIRE((which() == NodeDatagram::LEAVING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::getLeaving() {
+  KJ_IREQUIRE((which() == NodeDatagram::LEAVING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeDatagram::Builder::setLeaving( ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::LEAVING);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>::Builder NodeDatagram::Builder::initLeaving(unsigned int size) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::LEAVING);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeDatagram::Builder::adoptLeaving(
+    ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<NodeDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, NodeDatagram::LEAVING);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>> NodeDatagram::Builder::disownLeaving() {
+  KJ_IREQUIRE((which() == NodeDatagram::LEAVING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gypsumhub::wire::LeavingTarget,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool NodeHello::Reader::getIsReady() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2802,6 +2971,54 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LeavingTarget::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeavingTarget::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LeavingTarget::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LeavingTarget::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LeavingTarget::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LeavingTarget::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LeavingTarget::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LeavingTarget::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t LeavingTarget::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeavingTarget::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeavingTarget::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PermitRequest::Reader::hasLimit() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/gypsumhub/gateway/node_datagram.cpp
+++ b/gypsumhub/gateway/node_datagram.cpp
@@ -170,6 +170,15 @@
             written.setCount(grant.count);
             written.setRetryAfterMs(toMilliseconds(grant.retryAfter));
         }
+
+        auto operator()(const std::vector<leaving_target>& leaving) -> void
+        {
+            auto list = datagram.initLeaving(static_cast<uint32_t>(leaving.size()));
+            for (auto index = uint32_t { 0 }; index < list.size(); ++index) {
+                list[index].setTarget(leaving[index].target);
+                list[index].setIncarnation(leaving[index].incarnation);
+            }
+        }
     };
 
     auto readDemands(wire::NodeHello::Reader hello) -> std::vector<host_demand>
@@ -293,6 +302,17 @@
         return limits;
     }
 
+    auto readLeaving(wire::NodeDatagram::Reader datagram) -> std::vector<leaving_target>
+    {
+        auto leaving = std::vector<leaving_target> {};
+        for (auto entry : datagram.getLeaving()) {
+            if (leaving.size() == maxDatagramEntries)
+                break;
+            leaving.push_back({ entry.getTarget().cStr(), entry.getIncarnation() });
+        }
+        return leaving;
+    }
+
     auto readDatagram(wire::NodeDatagram::Reader datagram, time_point now) -> std::optional<node_datagram>
     {
         auto read = node_datagram { datagram.getSender().cStr(), {} };
@@ -321,6 +341,9 @@
         case wire::NodeDatagram::LIMITS:
             read.content = readLimits(datagram, now);
             return read;
+        case wire::NodeDatagram::LEAVING:
+            read.content = readLeaving(datagram);
+            return read;
         case wire::NodeDatagram::PERMIT_REQUEST: {
             auto request = datagram.getPermitRequest();
             auto limit = readLimit(request.getLimit(), now);
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -232,7 +232,7 @@
     auto now = bootClockNow();
     // While the connection was opened, the target may have started draining, the permit may have ended, or the caller may have left.
     auto isTooLate = now + minTimeLeft >= targetDeadline() || now >= sendBefore || !m_context.shutdown.accepts(now, m_deadline);
-    if (target.isClosed || target.registration.isDraining || m_callerLeft || isTooLate || m_context.poisonRequests.quarantinedUntil(m_identity, now)) {
+    if (!target.acceptsRequests(now) || m_callerLeft || isTooLate || m_context.poisonRequests.quarantinedUntil(m_identity, now)) {
         m_context.connections.release(target.registration.id, connection);
         co_return attempt_end::NotSent;
     }
@@ -245,13 +245,13 @@
     auto hadStalled = active->isStalled;
     m_context.attempts.erase(active);
     m_connection.reset();
-    if (!target.isClosed)
-        m_context.connections.release(target.registration.id, connection);
     m_context.counters.responseTime.record(bootClockNow() - now);
     if (result.end == exchange_end::Answered) {
         m_context.pathsTo(target.registration.service).recordAnswer(bootClockNow());
         m_context.onAnswerHead(target.registration, result.answer.base(), now);
     }
+    if (!target.isClosed && target.leavingUntil == time_point {})
+        m_context.connections.release(target.registration.id, connection);
     // An answer after a stall is recorded with the current time, so that it counteracts the evidence of the stall.
     co_return classify(used, result, hadStalled && result.end == exchange_end::Answered ? bootClockNow() : now);
 }
--- a/gypsumhub/platform/wire_names.h
+++ b/gypsumhub/platform/wire_names.h
@@ -18,6 +18,8 @@
     constexpr auto notExecuted = std::string_view { "Not-Executed" };
     /// On an answer: the requests per second that the target accepts from all nodes together, until an answer comes without the field.
     constexpr auto rateLimit = std::string_view { "Server-Limit" };
+    /// On an answer, with the value 1: the target is leaving and wants no new requests.
+    constexpr auto leaving = std::string_view { "Server-Leaving" };
 
     /// On each answer of the store: rises by one whenever the store comes back from an older copy.
     constexpr auto storeEra = std::string_view { "Store-Era" };
--- a/unit_tests/gateway/node_datagram_test.cpp
+++ b/unit_tests/gateway/node_datagram_test.cpp
@@ -133,6 +133,11 @@
 
     auto operator()(const permit_request& request) -> bool { return (*this)(request.limit) && addText(request.asker); }
     auto operator()(const permit_grant& grant) -> bool { return (*this)(grant.limit) && grant.retryAfter >= duration {}; }
+
+    auto operator()(const std::vector<leaving_target>& leaving) -> bool
+    {
+        return leaving.size() <= maxDatagramEntries && std::ranges::all_of(leaving, [&](auto& entry) { return addText(entry.target); });
+    }
 };
 
 auto isWithinLimits(const node_datagram& datagram) -> bool
@@ -256,6 +261,14 @@
     }
 }
 
+TEST_CASE("targets that are leaving arrive as they were sent, up to the limit of a datagram")
+{
+    auto leaving = sendAndReceive(std::vector(maxDatagramEntries + 2, leaving_target { "i-1", 1'700'000'000'123 }), now);
+    REQUIRE(leaving.size() == maxDatagramEntries);
+    CHECK(leaving[0].target == "i-1");
+    CHECK(leaving[0].incarnation == 1'700'000'000'123);
+}
+
 TEST_CASE("limits, permit requests and grants arrive as they were sent, with ages instead of clock times")
 {
     auto later = now + seconds(1000);
