--- a/gypsumhub/decision/selection/registration_view.h
+++ b/gypsumhub/decision/selection/registration_view.h
@@ -29,8 +29,8 @@
 /// The registrations of all targets as of the newest revision seen, from the store or from another node.
 ///
 /// During an outage the store may lose entries of live targets, which register again after it has recovered. A removal read from
-/// the store during an outage is therefore held back until the target had time to register again. Only the node that reads the
-/// store decides this. A removal received from another node is applied at once, because an outage between this node and the store
+/// the store after an outage is therefore held back until the target had time to register again. Only the node that reads the
+/// store decides this, by `store_outage`. A removal received from another node is applied at once, because an outage between this node and the store
 /// does not mean that the reader has one.
 ///
 /// A store that comes back from an older copy holds an earlier state until the targets have written again. For a while, its
@@ -45,7 +45,7 @@
     /// than `revision`.
     auto replace(std::span<const target_registration>, uint64_t revision, view_source, time_point now,
         const bucket_digests::bucket_set& buckets = bucket_digests::bucket_set().set()) -> std::vector<view_change>;
-    /// Records that a call to the store failed. Removals are held back for a while from `now` on.
+    /// Records that an outage of the store has ended. Removals are held back for a while from `now` on.
     auto recordStoreOutage(time_point now) -> void;
     /// Whether the store is to be listed again since what an older copy said was ignored. True once, when that time has ended.
     auto takeListingDue(time_point now) -> bool;
--- a/gypsumhub/gateway/store_access.cpp
+++ b/gypsumhub/gateway/store_access.cpp
@@ -34,10 +34,14 @@
 auto store_access::recordCall(std::string_view call, keyspace_status status) -> bool
 {
     ++m_context.counters.storeCalls[std::string(call)];
+    auto now = bootClockNow();
     auto isAnswered = status != keyspace_status::Unanswered && status != keyspace_status::Refused;
     if (!isAnswered) {
         ++m_context.counters.storeFailures;
-        m_context.view.recordStoreOutage(bootClockNow());
+        m_outage.recordFailure(now);
+    } else if (m_outage.recordAnswer(now, m_context.viewConfirmedAt)) {
+        m_context.view.recordStoreOutage(now);
+        m_context.log.write(log_class::Notable, "store_outage", { { "call", call }, { "registrations_age_ms", (now - m_context.viewConfirmedAt).milliseconds() } });
     }
     if (auto era = m_store.era(); era > m_context.storeEra) {
         if (m_context.storeEra != 0)
@@ -46,7 +50,7 @@
     }
     if (isAnswered == m_isStoreLost) {
         m_isStoreLost = !isAnswered;
-        m_storeLostSince = bootClockNow();
+        m_storeLostSince = now;
         m_context.log.write(log_class::Notable, m_isStoreLost ? "store_lost" : "store_regained", { { "call", call }, { "status", static_cast<int>(status) } });
     }
     return status == keyspace_status::Ok;
--- a/gypsumhub/gateway/store_access.h
+++ b/gypsumhub/gateway/store_access.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gypsumhub/decision/selection/store_outage.h"
 #include "gypsumhub/gateway/gateway_context.h"
 #include "gypsumhub/store/keyspace.h"
 
@@ -42,6 +43,7 @@
 private:
     gateway_context& m_context;
     keyspace& m_store;
+    store_outage m_outage;
     bool m_isStoreLost { false };
     time_point m_storeLostSince {};
     bool m_hasNodeListing { false };
