--- a/gypsumhub/decision/selection/idle_urgency.cpp
+++ b/gypsumhub/decision/selection/idle_urgency.cpp
@@ -8,14 +8,20 @@
 
     // Leaves time for the next request to arrive within the 2 s after which a target counts as unused.
     constexpr auto trialInterval = milliseconds(1600);
-    // A target that failed by itself counts as sound again after 2 s, and as unused 2 s later. Few recover at the same time.
-    constexpr auto restInterval = milliseconds(7000);
+    // The interval doubles with each failure in a row up to this many.
+    constexpr auto maxDoublings = 2U;
     // One failure may be the ordinary one of a good target.
     constexpr auto minFailuresToRest = 2U;
     // Below the share of targets that may be unused by the users' rule, 0.3, since nodes count only what they know.
     constexpr auto maxRestingShare = 0.2;
     constexpr auto urgencyOfRetryableTrial = 0.5;
 
+    auto restInterval(const target_state& target) -> duration
+    {
+        auto doublings = target.failuresInRow < minFailuresToRest ? 0U : std::min(target.failuresInRow - 1, maxDoublings);
+        return trialInterval * (1 << doublings);
+    }
+
     auto idleTime(const target_state& target, time_point now) -> duration
     {
         return now - std::max(target.lastChosenAt, target.lastReportAt);
@@ -35,8 +41,7 @@
 
 auto idleUrgency(const target_state& target, bool isRetryable, bool mayRest, time_point now) -> double
 {
-    auto interval = mayRest && target.failuresInRow >= minFailuresToRest ? restInterval : trialInterval;
-    auto urgency = idleTime(target, now).seconds() / interval.seconds();
+    auto urgency = idleTime(target, now).seconds() / (mayRest ? restInterval(target) : trialInterval).seconds();
     auto due = isRetryable && target.failuresInRow > 0 ? urgencyOfRetryableTrial : 1.0;
     return urgency >= due ? urgency : 0;
 }
--- a/gypsumhub/decision/selection/idle_urgency.h
+++ b/gypsumhub/decision/selection/idle_urgency.h
@@ -16,8 +16,9 @@
 /// Answers the load of a service whose targets fail now and then by themselves. Estimates keep requests away from a target that failed
 /// as long as others are free, and only a request can show that it works again. The urgency rises without bound, so that each target
 /// gets one within a bounded time. A target that failed several times in a row may rest for longer, since most trials of it cost a
-/// request, but only a small share of the targets may: beyond it they are probably not the cause. Requests that can be retried are due
-/// earlier, as their callers lose only time. Outcomes that other nodes report count as requests, so that one node tries a target for all.
+/// request. Only a small share of the targets may rest: if more fail, they are probably not the cause. Requests that can be retried are
+/// due earlier, as their callers lose only time. Outcomes that other nodes report count as requests, so that one node tries a target
+/// for all.
 auto idleUrgency(const target_state&, bool isRetryable, bool mayRest, time_point now) -> double;
 
 } // namespace gypsumhub
