--- a/gypsumhub/decision/selection/load_balancer.cpp
+++ b/gypsumhub/decision/selection/load_balancer.cpp
@@ -3,7 +3,6 @@
 #include "gypsumhub/decision/selection/idle_urgency.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 namespace gypsumhub {
@@ -131,12 +130,12 @@
     return resting <= maxRestingTargets(usable);
 }
 
-auto load_balancer::explorationGain(const target_state& target, double bad, bool isRetryable, bool mayRest, time_point now) const -> double
+auto load_balancer::explorationGain(const target_state& target, double bad, bool isRetryable, bool isRestAllowed, time_point now) const -> double
 {
     if (target.registration.dataCentre != m_dataCentre)
         return 0;
     auto isUntried = target.lastChosenAt == time_point {} && bad < maxProbabilityBadForBonus;
-    return m_settings.explorationBonus * ((isUntried ? 1 : 0) + bonusesOfTrial * idleUrgency(target, isRetryable, mayRest, now));
+    return m_settings.explorationBonus * ((isUntried ? 1 : 0) + bonusesOfTrial * idleUrgency(target, isRetryable, isRestAllowed, now));
 }
 
 auto load_balancer::idleCount(std::string_view service, duration idle, time_point now) -> size_t
--- a/gypsumhub/decision/selection/load_balancer.h
+++ b/gypsumhub/decision/selection/load_balancer.h
@@ -101,10 +101,10 @@
     auto serviceOf(std::string_view name) -> service_targets&;
     auto updateLeaving(std::string_view id) -> void;
     auto expectedLoss(const target_state&, double bad, bool isRetryable, time_point now) const -> double;
-    /// Whether no more targets of this data centre rest than may.
+    /// Whether at most the allowed number of targets of this data centre rest.
     auto mayRest(const service_targets&, time_point now) const -> bool;
     /// Subtracted from the loss of a target of this data centre that needs a request.
-    auto explorationGain(const target_state&, double bad, bool isRetryable, bool mayRest, time_point now) const -> double;
+    auto explorationGain(const target_state&, double bad, bool isRetryable, bool isRestAllowed, time_point now) const -> double;
     /// Updates the mean state durations of the service when the classification of the target changes.
     auto classify(target_state&, double bad, time_point now) -> void;
     /// Adds what the limit of a usable target allows. Called for all of them in turn, also with no limit.
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -250,7 +250,7 @@
         m_context.pathsTo(target.registration.service).recordAnswer(bootClockNow());
         m_context.onAnswerHead(target.registration, result.answer.base(), now);
     }
-    if (!target.isClosed && target.leavingUntil == time_point {})
+    if (!target.isClosed && bootClockNow() >= target.leavingUntil)
         m_context.connections.release(target.registration.id, connection);
     // An answer after a stall is recorded with the current time, so that it counteracts the evidence of the stall.
     co_return classify(used, result, hadStalled && result.end == exchange_end::Answered ? bootClockNow() : now);
