--- a/gypsumhub/decision/selection/idle_urgency.cpp
+++ b/gypsumhub/decision/selection/idle_urgency.cpp
@@ -6,9 +6,11 @@
 
 namespace {
 
-    // Leaves time for the next request to arrive within the 2 s after which a target counts as unused.
+    // A target that works is used at least this often.
+    constexpr auto useInterval = milliseconds(1000);
+    // After one failure. Leaves time for the next request to arrive within the 2 s after which a target counts as unused.
     constexpr auto trialInterval = milliseconds(1600);
-    // The interval doubles with each failure in a row up to this many.
+    // The interval doubles with each further failure in a row up to this many times.
     constexpr auto maxDoublings = 2U;
     // One failure may be the ordinary one of a good target.
     constexpr auto minFailuresToRest = 2U;
@@ -16,9 +18,11 @@
     constexpr auto maxRestingShare = 0.2;
     constexpr auto urgencyOfRetryableTrial = 0.5;
 
-    auto restInterval(const target_state& target) -> duration
+    auto intervalOf(const target_state& target, bool mayRest) -> duration
     {
-        auto doublings = target.failuresInRow < minFailuresToRest ? 0U : std::min(target.failuresInRow - 1, maxDoublings);
+        if (target.failuresInRow == 0)
+            return useInterval;
+        auto doublings = mayRest ? std::min(target.failuresInRow - 1, maxDoublings) : 0U;
         return trialInterval * (1 << doublings);
     }
 
@@ -41,7 +45,7 @@
 
 auto idleUrgency(const target_state& target, bool isRetryable, bool mayRest, time_point now) -> double
 {
-    auto urgency = idleTime(target, now).seconds() / (mayRest ? restInterval(target) : trialInterval).seconds();
+    auto urgency = idleTime(target, now).seconds() / intervalOf(target, mayRest).seconds();
     auto due = isRetryable && target.failuresInRow > 0 ? urgencyOfRetryableTrial : 1.0;
     return urgency >= due ? urgency : 0;
 }
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -109,6 +109,7 @@
         m_watcher.tick();
         m_crashes.tick(now);
         m_limits.tick(now);
+        m_leaving.tick(now);
         m_paths.tick(now);
         if (now >= m_nextHello)
             sendHello();
--- a/gypsumhub/gateway/leaving_watcher.cpp
+++ b/gypsumhub/gateway/leaving_watcher.cpp
@@ -5,6 +5,16 @@
 
 namespace gypsumhub {
 
+namespace {
+
+    // A report is sent once more after each interval. A starting node knows the others by then.
+    constexpr auto repeatInterval = milliseconds(1000);
+    constexpr auto repeatCount = 4U;
+    // Bounds what a node sends when very many targets leave at once.
+    constexpr auto maxRepeated = size_t { 64 };
+
+} // namespace
+
 leaving_watcher::leaving_watcher(gateway_context& context, sender send)
     : m_context(context)
     , m_send(std::move(send))
@@ -21,6 +31,20 @@
         return;
     apply(stated, m_context.settings.name);
     m_send({ m_context.settings.name, std::vector { stated } });
+    if (m_repeated.size() < maxRepeated)
+        m_repeated.push_back({ stated, bootClockNow() + repeatInterval, repeatCount });
+}
+
+auto leaving_watcher::tick(time_point now) -> void
+{
+    for (auto& report : m_repeated) {
+        if (now < report.nextAt)
+            continue;
+        m_send({ m_context.settings.name, std::vector { report.stated } });
+        report.nextAt = now + repeatInterval;
+        --report.remaining;
+    }
+    std::erase_if(m_repeated, [](auto& report) { return report.remaining == 0; });
 }
 
 auto leaving_watcher::handleReport(std::span<const leaving_target> reported, std::string_view sender) -> void
--- a/unit_tests/gateway/leaving_answer_test.cpp
+++ b/unit_tests/gateway/leaving_answer_test.cpp
@@ -9,6 +9,7 @@
 
 // By the pages a request may still reach the target for so long after its answer.
 constexpr auto drainTime = std::chrono::milliseconds(3'000);
+constexpr auto reportTime = std::chrono::milliseconds(2'500);
 
 auto sendAll(int node, const std::string& prefix, int count) -> int
 {
@@ -25,10 +26,11 @@
     auto fleet = gateway_fixture {};
     auto& leaving = *fleet.targets[0];
     leaving.setLeaving(true);
-    // Until it has answered one request at least; the other node is told.
+    // Until it has answered one request at least. The other node is told, again after 1 s, since it may have just started.
     CHECK(eventually([&] { return sendAll(0, "before-", 4) == 4 && leaving.totalRuns() > 0; }));
-    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    std::this_thread::sleep_for(reportTime);
     auto before = leaving.arrivals().size();
+    CHECK(before == 1);
     CHECK(sendAll(0, "at-once-", 30) == 30);
     CHECK(sendAll(1, "other-node-", 30) == 30);
     // The heartbeat of the target repeats its entry.
