--- a/fakes/target_answer.cpp
+++ b/fakes/target_answer.cpp
@@ -19,6 +19,10 @@
         return { begin, "Field: value\r\n" };
     case target_behaviour::EndlessBody:
         return { begin + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + std::string(0x10000, 'x') + "\r\n" };
+    case target_behaviour::EndlessChunkHeader:
+        return { begin + "Transfer-Encoding: chunked\r\n\r\n1;", std::string(0x10000, 'x') };
+    case target_behaviour::EndlessTrailer:
+        return { begin + "Transfer-Encoding: chunked\r\n\r\n0\r\nField: ", std::string(0x10000, 'x') };
     default:
         return {};
     }
--- a/gypsumhub/config/gateway_settings.h
+++ b/gypsumhub/config/gateway_settings.h
@@ -18,6 +18,8 @@
     std::string region;
     /// Capacity of this node; values that are not set are 0. A node without these values cannot alone provide a `directorySize` above 0.
     node_size size;
+    /// Memory of the machine in MB. The default is that of the smallest machine.
+    uint32_t memoryMegabytes { 160 };
     /// Name and region of every data centre of the deployment.
     std::vector<std::pair<std::string, std::string>> dataCentres;
     endpoint callerAddress;
--- a/gypsumhub/config/gateway_settings_reader.cpp
+++ b/gypsumhub/config/gateway_settings_reader.cpp
@@ -58,6 +58,7 @@
         settings.metricsAddress = reader.address("metrics_address").value_or(endpoint {});
         settings.stopLimit = reader.timeSpan("stop_limit", settings.stopLimit);
         settings.size = readSize(reader, settings.size);
+        settings.memoryMegabytes = reader.number("memory", { 32, 1'000'000 }, settings.memoryMegabytes);
     }
 
     auto readStore(section_reader& reader, gateway_settings& settings) -> void
--- /dev/null
+++ b/gypsumhub/core/http_feed.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "gypsumhub/core/asio_types.h"
+
+#include <cstddef>
+
+namespace gypsumhub {
+
+/// Passes the received bytes of one message to an HTTP parser, and bounds the bytes that the parser leaves unread.
+class http_feed {
+public:
+    /// Longest header of a chunk, or trailer, in bytes. The parser reads each of them only when it is complete.
+    static constexpr auto maxUnreadBytes = size_t { 16 * 1024 };
+
+    /// Passes bytes to the parser and returns how many it has read; the rest must be passed again with the bytes that follow. Sets
+    /// `http::error::need_more` when the message is not complete, and `http::error::buffer_overflow` when a part of it is too long.
+    template <bool isRequest>
+    auto put(http::basic_parser<isRequest>& parser, asio::const_buffer bytes, error_code& error) -> size_t
+    {
+        error = {};
+        auto read = size_t { 0 };
+        while (read < bytes.size() && !parser.is_done() && !error)
+            read += parser.put(bytes + read, error);
+        if (!error && !parser.is_done())
+            error = http::error::need_more;
+        if (error == http::error::need_more && parser.is_header_done() && bytes.size() - read > maxUnreadBytes)
+            error = http::error::buffer_overflow;
+        return read;
+    }
+};
+
+} // namespace gypsumhub
--- a/gypsumhub/gateway/gateway_context.cpp
+++ b/gypsumhub/gateway/gateway_context.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+    constexpr auto bytesPerMegabyte = size_t { 1'000'000 };
+    // Of the machine's memory. The rest holds the program, its state, sockets and what the allocator does not return at once.
+    constexpr auto bufferPercent = size_t { 55 };
     constexpr auto startupCheckInterval = milliseconds(10);
     // A target is logged as ejected or reinstated when its probability of being bad crosses this threshold.
     constexpr auto ejectionThreshold = 0.5;
@@ -34,6 +37,7 @@
 
 gateway_context::gateway_context(gateway_settings given)
     : settings(std::move(given))
+    , buffers(settings.memoryMegabytes * bytesPerMegabyte * bufferPercent / 100)
     , random(seedOf(settings))
     , log({ settings.logDescriptor, settings.logLinesPerSecond })
     , balancer(
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -25,9 +25,6 @@
 
 namespace gypsumhub {
 
-/// Memory of the answers that a node receives at the same time, a third of the smallest machine's.
-constexpr auto maxAnswerMemory = size_t { 48 * 1024 * 1024 };
-
 /// A connection inside the deployment takes less than a tenth of this; the rest allows for one lost packet.
 constexpr auto connectTimeout = milliseconds(450);
 
@@ -69,8 +66,10 @@
     auto recordPeerOutcome(const peer_outcome&, std::string_view sender) -> void;
     auto logHealthChange(const target_state&, health_change, outcome_kind, std::string_view seenBy) -> void;
 
-    asio::io_context io { 1 };
     gateway_settings settings;
+    /// Before `io`, whose unfinished operations hold reservations.
+    buffer_budget buffers;
+    asio::io_context io { 1 };
     random_generator random;
     json_logger log;
     gateway_counters counters;
@@ -88,8 +87,6 @@
     uint16_t storeEra { 0 };
     /// When the view was last known to match the store.
     time_point viewConfirmedAt {};
-    /// Before the members that hold connections.
-    buffer_budget answerBudget { maxAnswerMemory };
     target_connection_pool connections;
     /// Connections to other nodes by their names.
     target_connection_pool relayConnections;
--- a/gypsumhub/gateway/gateway_metrics.cpp
+++ b/gypsumhub/gateway/gateway_metrics.cpp
@@ -57,6 +57,9 @@
     metrics.addGauge("registrations_age_seconds", "Time since the registrations were last known to match the store.", (bootClockNow() - context.viewConfirmedAt).seconds());
     for (auto& [service, monitor] : context.paths)
         metrics.addGauge("target_paths_lost", "1 while the node has lost its network paths to all targets of the service.", monitor.areLost() ? 1 : 0, { { "service", service } });
+    metrics.addGauge("buffered_bytes", "Memory of requests and answers that are being received or wait to be sent.", static_cast<double>(context.buffers.used()));
+    metrics.addGauge("buffered_bytes_limit", "Greatest value of buffered_bytes.", static_cast<double>(context.buffers.limit()));
+    metrics.addCounter("buffer_refusals_total", "Times that received bytes exceeded buffered_bytes_limit.", static_cast<double>(context.buffers.refusals()));
     metrics.addGauge("open_requests", "Requests not answered yet.", context.openRequests);
     metrics.addGauge("idle_target_connections", "Idle connections to targets.", static_cast<double>(context.connections.size()));
     metrics.addGauge("quarantined_requests", "Requests that are not sent to targets since they crash them.", static_cast<double>(context.poisonRequests.quarantinedCount()));
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -28,7 +28,7 @@
 gateway_node::gateway_node(gateway_settings settings, std::string settingsFile)
     : m_settingsFile(std::move(settingsFile))
     , m_context(std::move(settings))
-    , m_store(m_context.io, m_context.settings.storeAddress)
+    , m_store(m_context.io, m_context.settings.storeAddress, m_context.buffers)
     , m_watcher(m_context, m_store, { [this](std::span<const view_change> changes) {
         for (auto first = size_t { 0 }; first < changes.size(); first += maxDatagramEntries) {
             auto part = changes.subspan(first, std::min(maxDatagramEntries, changes.size() - first));
@@ -39,10 +39,10 @@
     , m_limits(m_context, [this](const node_datagram& datagram, std::span<const node_registration> receivers) { m_peers.send(datagram, receivers); })
     , m_leaving(m_context, [this](const node_datagram& datagram) { m_peers.send(datagram, peersInRegion()); })
     , m_paths(m_context, [this] { sendHello(); })
-    , m_readiness(m_context.io, [this](std::string_view target) { return answerReadiness(target); })
-    , m_directory(m_context.io, [this](std::string_view target) { return answerDirectory(target); })
-    , m_metrics(m_context.io, [this](std::string_view) { return http_answer { 200, "text/plain; version=0.0.4", formatGatewayMetrics(m_context, m_store.callCount()) }; })
-    , m_peerLists(m_context.io, [this](std::string_view target) { return answerPeerListing(target); })
+    , m_readiness(m_context.io, m_context.buffers, [this](std::string_view target) { return answerReadiness(target); })
+    , m_directory(m_context.io, m_context.buffers, [this](std::string_view target) { return answerDirectory(target); })
+    , m_metrics(m_context.io, m_context.buffers, [this](std::string_view) { return http_answer { 200, "text/plain; version=0.0.4", formatGatewayMetrics(m_context, m_store.callCount()) }; })
+    , m_peerLists(m_context.io, m_context.buffers, [this](std::string_view target) { return answerPeerListing(target); })
     , m_transferLimit(m_context.settings.size.linkMegabits)
     , m_callers(m_context.io.get_executor())
     , m_signals(m_context.io, SIGTERM, SIGINT, SIGHUP)
--- a/gypsumhub/gateway/http_responder.cpp
+++ b/gypsumhub/gateway/http_responder.cpp
@@ -3,6 +3,7 @@
 #include "gypsumhub/config/section_reader.h"
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/core/deadline_timer.h"
+#include "gypsumhub/store/http_reading.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -40,8 +41,9 @@
     return {};
 }
 
-http_responder::http_responder(asio::io_context& context, answer_function answer)
+http_responder::http_responder(asio::io_context& context, buffer_budget& budget, answer_function answer)
     : m_context(context)
+    , m_budget(budget)
     , m_answer(std::move(answer))
     , m_acceptor(context.get_executor())
 {
@@ -74,11 +76,15 @@
     setNoDelay(socket);
     for (auto isOpen = true; isOpen;) {
         timer.arm(bootClockNow() + idleLimit, [&socket] { closeNow(socket); });
-        auto request = http::request<http::empty_body> {};
-        auto [readError, read] = co_await http::async_read(socket, buffer, request, useTask);
+        auto reservation = buffer_budget::reservation(m_budget);
+        auto parser = http::request_parser<http::empty_body> {};
+        auto readError = co_await readHttpMessage(socket, buffer, parser, reservation);
         if (readError)
             co_return;
+        auto& request = parser.get();
         auto answer = request.method() == http::verb::get ? m_answer(request.target()) : http_answer { 405 };
+        if (!reservation.resize(answer.body.size()))
+            answer = http_answer { 503 };
         auto response = http::response<http::string_body>(http::int_to_status(answer.status), 11, std::move(answer.body));
         response.set(http::field::content_type, answer.contentType);
         response.keep_alive(request.keep_alive());
--- a/gypsumhub/gateway/http_responder.h
+++ b/gypsumhub/gateway/http_responder.h
@@ -3,6 +3,7 @@
 #include "gypsumhub/config/configuration.h"
 #include "gypsumhub/core/asio_types.h"
 #include "gypsumhub/core/fault.h"
+#include "gypsumhub/decision/selection/buffer_budget.h"
 
 #include <functional>
 #include <memory>
@@ -25,7 +26,7 @@
 public:
     using answer_function = std::function<http_answer(std::string_view target)>;
 
-    http_responder(asio::io_context&, answer_function);
+    http_responder(asio::io_context&, buffer_budget&, answer_function);
 
     /// Listens on an address and starts serving. Fails with `AddressInUse`.
     auto listen(const endpoint&) -> leaf::result<void>;
@@ -35,6 +36,7 @@
     auto serve(tcp_socket) -> task<>;
 
     asio::io_context& m_context;
+    buffer_budget& m_budget;
     answer_function m_answer;
     tcp_acceptor m_acceptor;
 };
--- a/gypsumhub/gateway/path_prober.cpp
+++ b/gypsumhub/gateway/path_prober.cpp
@@ -43,7 +43,7 @@
 auto path_prober::probe(std::string service, std::string id, endpoint address) -> task<>
 {
     auto startedAt = bootClockNow();
-    auto connection = std::make_shared<target_http_connection>(m_context.io, m_context.answerBudget);
+    auto connection = std::make_shared<target_http_connection>(m_context.io, m_context.buffers);
     auto isOpen = co_await connection->connect(address, startedAt + connectTimeout);
     m_context.recordConnect(service, id, isOpen, startedAt);
 }
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -93,7 +93,6 @@
     m_deadline = deadlineOf(m_request, *m_route, m_arrivedAt);
     if (!m_context.shutdown.accepts(bootClockNow(), m_deadline))
         co_return refuse("stopping", {});
-    m_body = std::make_shared<const std::string>(m_request.body());
     m_dispatcher = &m_context.dispatcher(chooseService());
     m_context.counters.relaysReceived += m_relayed ? 1 : 0;
     if (m_relayed && hasLostPaths())
@@ -159,7 +158,7 @@
 auto request_handler::relay() -> task<std::optional<caller_reply>>
 {
     auto attempts = maxAttempts() - std::min(m_sent, maxAttempts());
-    auto request = relayed_request { m_request, m_route->host, m_body, { attempts, m_callerAddress, m_dispatcher->service() }, targetDeadline(), m_route->isRetryable };
+    auto request = relayed_request { m_request, m_route->host, body(), { attempts, m_callerAddress, m_dispatcher->service() }, targetDeadline(), m_route->isRetryable };
     auto result = co_await request_relay(m_context).send(std::move(request), m_connection, m_callerLeft);
     m_connection.reset();
     m_isRelayDenied = result.exchange.end == exchange_end::NotSent;
@@ -178,6 +177,7 @@
     m_reason = "not_served_by_relay";
     ++(answer.result_int() == 503 ? m_context.counters.refused : m_context.counters.unknownOutcomes);
     removeHopByHopFields(answer);
+    m_answerMemory = std::move(result.exchange.memory);
     co_return std::move(answer);
 }
 
@@ -205,7 +205,7 @@
     auto now = bootClockNow();
     if (auto connection = m_context.connections.acquire(target.registration.id, m_id, m_route->isRetryable, now))
         co_return connection;
-    auto connection = std::make_shared<target_http_connection>(m_context.io, m_context.answerBudget);
+    auto connection = std::make_shared<target_http_connection>(m_context.io, m_context.buffers);
     m_connection = connection;
     ++m_context.counters.newConnections;
     auto isOpen = co_await connection->connect(target.registration.address, std::min(targetDeadline(), now + connectTimeout));
@@ -237,7 +237,7 @@
         co_return attempt_end::NotSent;
     }
     auto head = outbound_head(m_request).setTarget(target.registration.id).setTimeLeft(targetDeadline() - now - deadlineMargin).build();
-    auto request = outbound_request { std::move(head), m_body, m_id, m_request.method() == http::verb::head };
+    auto request = outbound_request { std::move(head), body(), m_id, m_request.method() == http::verb::head };
     ++m_sent;
     m_connection = connection;
     auto active = m_context.attempts.insert(m_context.attempts.end(), { used, now, false, connection, [this] { handleStall(); } });
@@ -357,6 +357,7 @@
 {
     if (m_last.end == exchange_end::Answered && m_last.answer.result_int() != 0) {
         auto reply = std::move(m_last.answer);
+        m_answerMemory = std::move(m_last.memory);
         removeHopByHopFields(reply);
         auto isSuccess = reply.result_int() / 100 == 2;
         ++(isSuccess ? m_context.counters.answered : m_context.counters.targetFailures);
--- a/gypsumhub/gateway/request_handler.h
+++ b/gypsumhub/gateway/request_handler.h
@@ -41,6 +41,8 @@
     };
 
     auto findRoute() -> void;
+    /// The request's body, without a copy.
+    auto body() -> std::shared_ptr<const std::string> { return { shared_from_this(), &m_request.body() }; }
     /// The deadline, or the latest one that a target may be given during a shutdown if that is earlier.
     auto targetDeadline() const -> time_point;
     auto makePlacementRequest() -> placement_request;
@@ -80,7 +82,6 @@
     std::shared_ptr<const route_table> m_routes;
     const route* m_route { nullptr };
     service_dispatcher* m_dispatcher { nullptr };
-    std::shared_ptr<const std::string> m_body;
     /// Ids of the targets chosen so far, including those that could not be reached.
     std::vector<std::string> m_tried;
     /// Attempts that were sent to a target.
@@ -95,6 +96,8 @@
     /// Whether the retry budget was already charged for the next retry.
     bool m_hasRetry { false };
     exchange_result m_last;
+    /// Of the answer that goes to the caller, held until the handler is destroyed.
+    buffer_budget::reservation m_answerMemory;
     std::shared_ptr<placement_wait> m_wait;
     std::shared_ptr<target_http_connection> m_connection;
     std::string m_relayedTo;
--- a/gypsumhub/gateway/request_relay.cpp
+++ b/gypsumhub/gateway/request_relay.cpp
@@ -73,7 +73,7 @@
     auto id = request.message[wire_names::requestId];
     if (auto kept = m_context.relayConnections.acquire(node.name, id, request.isRetryable, now))
         co_return kept;
-    auto connection = std::make_shared<target_http_connection>(m_context.io, m_context.answerBudget);
+    auto connection = std::make_shared<target_http_connection>(m_context.io, m_context.buffers);
     active = connection;
     // The other node recognizes this one by its address.
     connection->bindTo(m_context.settings.callerAddress.address);
--- a/gypsumhub/gateway/store_access.cpp
+++ b/gypsumhub/gateway/store_access.cpp
@@ -89,7 +89,7 @@
     if (!peer)
         co_return keyspace_result<key_listing> {};
     ++m_context.counters.peerListings[prefix];
-    auto client = kv_client(m_context.io, peer->peerAddress);
+    auto client = kv_client(m_context.io, peer->peerAddress, m_context.buffers);
     auto listed = co_await client.listDifference(std::move(prefix), known, deadline);
     co_return listed;
 }
--- a/gypsumhub/gateway/target_http_connection.cpp
+++ b/gypsumhub/gateway/target_http_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/platform/wire_names.h"
+#include "gypsumhub/store/http_reading.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -141,6 +142,8 @@
         result.end = exchange_end::Lost;
         result.answer = {};
     }
+    if (result.end != exchange_end::Answered)
+        result.memory = {};
     m_timer.disarm();
     if (result.end == exchange_end::Answered && result.answer.result_int() / 100 != 2)
         m_failedIds.push_back(request.id);
@@ -161,12 +164,10 @@
         auto parser = http::response_parser<http::string_body> {};
         parser.body_limit(maxAnswerBytes);
         parser.skip(request.isHead);
-        auto reservation = buffer_budget::reservation(m_budget);
-        while (!parser.is_done()) {
-            auto [error, read] = co_await http::async_read_some(m_socket, m_buffer, parser, useTask);
-            if (error || !reservation.resize(parser.get().body().size()))
-                co_return false;
-        }
+        result.memory = buffer_budget::reservation(m_budget);
+        auto error = co_await readHttpMessage(m_socket, m_buffer, parser, result.memory);
+        if (error)
+            co_return false;
         // Skips interim (1xx) answers.
         if (parser.get().result_int() / 100 == 1)
             continue;
--- a/gypsumhub/gateway/target_http_connection.h
+++ b/gypsumhub/gateway/target_http_connection.h
@@ -38,6 +38,8 @@
 struct exchange_result {
     exchange_end end { exchange_end::NotSent };
     http::response<http::string_body> answer;
+    /// Of the answer, to be kept until the answer has been sent on.
+    buffer_budget::reservation memory;
 };
 
 /// One HTTP connection to a target. Carries one exchange at a time.
--- a/gypsumhub/platform/kv_client.cpp
+++ b/gypsumhub/platform/kv_client.cpp
@@ -20,6 +20,8 @@
 
     // A page of a listing has at most 1 MB, including the base64 overhead.
     constexpr auto maxAnswerBytes = size_t { 4 * 1024 * 1024 };
+    // A parsed document occupies up to this many times the bytes of its text, a list of digits the most.
+    constexpr auto maxParsedSize = size_t { 8 };
     // Time beyond the wait of a watch for its answer to arrive.
     constexpr auto watchGrace = milliseconds(1500);
     constexpr auto listPath = std::string_view { "/gypsumhub/kv-range?prefix=" };
@@ -104,9 +106,10 @@
     time_point idleSince {};
 };
 
-kv_client::kv_client(asio::io_context& context, const endpoint& store)
+kv_client::kv_client(asio::io_context& context, const endpoint& store, buffer_budget& budget)
     : m_context(context)
     , m_store(store)
+    , m_budget(budget)
 {
 }
 
@@ -149,8 +152,9 @@
         co_return reply {};
     auto parser = http::response_parser<http::string_body> {};
     parser.body_limit(maxAnswerBytes);
-    auto [readError, read] = co_await http::async_read(used->socket, used->buffer, parser, useTask);
-    if (readError)
+    auto reservation = buffer_budget::reservation(m_budget);
+    auto readError = co_await readHttpMessage(used->socket, used->buffer, parser, reservation);
+    if (readError || !reservation.resize(parser.get().body().size() * maxParsedSize))
         co_return reply {};
     used->timer.disarm();
     auto parseError = error_code {};
@@ -186,6 +190,8 @@
 auto kv_client::listPages(std::string firstPath, time_point deadline) -> task<keyspace_result<key_listing>>
 {
     auto result = keyspace_result<key_listing> { keyspace_status::Ok };
+    auto reservation = buffer_budget::reservation(m_budget);
+    auto listedBytes = size_t { 0 };
     auto after = std::string {};
     auto firstEra = std::optional<uint16_t> {};
     for (auto hasMore = true; hasMore;) {
@@ -197,9 +203,13 @@
         if (page.status != keyspace_status::Ok || !items)
             co_return keyspace_result<key_listing> { page.status == keyspace_status::Ok ? keyspace_status::Refused : page.status };
         for (auto& item : *items) {
-            if (item.is_object())
-                result.value.entries.push_back(entryOf(item.as_object(), page.era));
+            if (!item.is_object())
+                continue;
+            auto& entry = result.value.entries.emplace_back(entryOf(item.as_object(), page.era));
+            listedBytes += sizeof(entry) + entry.key.size() + entry.value.size();
         }
+        if (!reservation.resize(listedBytes))
+            co_return keyspace_result<key_listing> { keyspace_status::Refused };
         auto& body = page.body.as_object();
         auto position = storePosition(page.era, numberAt(body, "store_revision"));
         // Later pages may be newer. Watching from the revision of the first page delivers everything that changed since then.
@@ -212,6 +222,9 @@
             result.value.buckets = *buckets;
         auto* more = body.if_contains("has_more");
         hasMore = more && more->is_bool() && more->as_bool() && !result.value.entries.empty();
+        // A page begins behind the last key of the one before; any other would make the listing endless.
+        if (hasMore && result.value.entries.back().key <= after)
+            co_return keyspace_result<key_listing> { keyspace_status::Refused };
         if (hasMore)
             after = result.value.entries.back().key;
     }
--- a/gypsumhub/platform/kv_client.h
+++ b/gypsumhub/platform/kv_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gypsumhub/config/configuration.h"
+#include "gypsumhub/store/http_reading.h"
 #include "gypsumhub/store/keyspace.h"
 
 #include <boost/json/value.hpp>
@@ -13,7 +14,8 @@
 /// HTTP client of the platform's key-value store. Not thread-safe.
 class kv_client final : public keyspace {
 public:
-    kv_client(asio::io_context&, const endpoint& store);
+    /// The bytes of answers that are being received, and of listings, are held against the budget.
+    kv_client(asio::io_context&, const endpoint& store, buffer_budget&);
     ~kv_client() override;
 
     auto list(std::string prefix, time_point deadline) -> task<keyspace_result<key_listing>> override;
@@ -46,6 +48,7 @@
 
     asio::io_context& m_context;
     endpoint m_store;
+    buffer_budget& m_budget;
     /// Idle connections, kept open for later calls. A connection whose call failed is not reused.
     std::vector<std::unique_ptr<connection>> m_idle;
     uint64_t m_calls { 0 };
--- a/gypsumhub/proxy/request_reader.cpp
+++ b/gypsumhub/proxy/request_reader.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+    // A body of unknown length that is larger than this may need up to the limit.
+    constexpr auto maxGrowingBytes = size_t { 256 * 1024 };
+
     auto codeOf(const error_code& error) -> result_code
     {
         if (error == http::error::header_limit || error == http::error::body_limit || error == http::error::buffer_overflow)
@@ -71,6 +74,7 @@
         return 0;
     }
     m_hasHeader = true;
+    m_headBytes = headSize;
     m_headerFields = countFields(m_parser.get());
     if (m_parser.is_done())
         m_state = progress::Done;
@@ -82,19 +86,13 @@
 auto request_reader::feedBody(std::span<const char> bytes) -> size_t
 {
     m_parser.eager(true);
-    auto consumed = size_t { 0 };
-    while (consumed < bytes.size() && !m_parser.is_done()) {
-        auto error = error_code {};
-        auto used = m_parser.put(asio::buffer(bytes.data() + consumed, bytes.size() - consumed), error);
-        consumed += used;
-        if (error == http::error::need_more)
-            break;
-        if (error) {
-            fail(codeOf(error));
-            return consumed;
-        }
-    }
-    if (!m_parser.is_done())
+    auto error = error_code {};
+    auto consumed = m_feed.put(m_parser, asio::buffer(bytes.data(), bytes.size()), error);
+    if (error && error != http::error::need_more)
+        fail(codeOf(error));
+    if (bodyBytes() > maxGrowingBytes)
+        m_parser.get().body().reserve(m_limits.bodyBytes);
+    if (error)
         return consumed;
     // The parser appends trailers to the header's fields, where they would bypass the checks of the head.
     if (countFields(m_parser.get()) != m_headerFields)
@@ -104,6 +102,16 @@
     return consumed;
 }
 
+auto request_reader::memoryBytes() const -> size_t
+{
+    if (m_state == progress::Done || !m_hasHeader)
+        return m_headBytes + bodyBytes();
+    if (auto length = m_parser.content_length())
+        return m_headBytes + *length;
+    // While the body grows, it is copied at times.
+    return m_headBytes + (bodyBytes() > maxGrowingBytes ? m_limits.bodyBytes : 2 * bodyBytes());
+}
+
 auto request_reader::fail(result_code code) -> void
 {
     m_state = progress::Failed;
--- a/gypsumhub/proxy/request_reader.h
+++ b/gypsumhub/proxy/request_reader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gypsumhub/core/asio_types.h"
+#include "gypsumhub/core/http_feed.h"
 #include "gypsumhub/core/result_code.h"
 
 #include <cstddef>
@@ -44,6 +44,11 @@
     auto hasHeader() const -> bool { return m_hasHeader; }
     /// Bytes of the body received so far.
     auto bodyBytes() const -> size_t { return m_parser.get().body().size(); }
+    /// The head; valid once it is complete.
+    auto head() const -> const http::request_header<>& { return m_parser.get(); }
+    /// Memory that the request needs until it is complete. A large body needs all of its memory from the start, so that of several
+    /// bodies at the same time at least one can be completed.
+    auto memoryBytes() const -> size_t;
     /// Continues with the body after "100 Continue" was sent.
     auto resume() -> void { m_state = progress::NeedMore; }
     /// Moves out the request; valid once the state is `Done`.
@@ -56,9 +61,11 @@
 
     limits m_limits;
     http::request_parser<http::string_body> m_parser;
+    http_feed m_feed;
     progress m_state { progress::NeedMore };
     result_code m_fault { result_code::Ok };
     bool m_hasHeader { false };
+    size_t m_headBytes { 0 };
     // Number of fields in the header; any further field came as a trailer.
     size_t m_headerFields { 0 };
 };
--- a/unit_tests/gateway/target_bytes_test.cpp
+++ b/unit_tests/gateway/target_bytes_test.cpp
@@ -26,11 +26,13 @@
     }
 }
 
-TEST_CASE("a target that sends interim answers, a head or a body without end is given up before the deadline, and others are served")
+// Guards against a node that holds all bytes of an answer without end until its machine has no memory left.
+TEST_CASE("a target that sends interim answers, a head, a body, a chunk's header or a trailer without end is given up before the deadline, and others are served")
 {
     auto fleet = gateway_fixture {};
     auto node = gateway_fixture::callerAddress(0);
-    for (auto behaviour : { target_behaviour::EndlessInterim, target_behaviour::EndlessHead, target_behaviour::EndlessBody }) {
+    for (auto behaviour : { target_behaviour::EndlessInterim, target_behaviour::EndlessHead, target_behaviour::EndlessBody,
+             target_behaviour::EndlessChunkHeader, target_behaviour::EndlessTrailer }) {
         fleet.setBehaviour(behaviour);
         auto id = "endless-" + std::to_string(static_cast<int>(behaviour));
         auto sentAt = bootClockNow();
