--- a/fakes/fake_gateway_target.cpp
+++ b/fakes/fake_gateway_target.cpp
@@ -211,11 +211,13 @@
     auto buffer = boost::beast::flat_buffer {};
     auto rejection = std::string {};
     for (;;) {
-        auto request = http::request<http::string_body> {};
+        auto parser = http::request_parser<http::string_body> {};
+        parser.body_limit(boost::none);
         auto error = boost::system::error_code {};
-        http::read(socket, buffer, request, error);
+        http::read(socket, buffer, parser, error);
         if (error)
             break;
+        auto request = parser.release();
         auto id = std::string(request["Request-Id"]);
         auto send = [&](const std::string& text) { asio::write(socket, asio::buffer(text), error); };
         auto behaviour = m_behaviour.load();
@@ -263,6 +265,14 @@
             }
             break;
         }
+        if (behaviour == target_behaviour::DripsLastChunk) {
+            send("HTTP/1.1 200 X\r\nRequest-Id: " + id + "\r\nUpstream-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for (auto byte : std::string_view("0\r\n\r\n")) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(10));
+                send(std::string(1, byte));
+            }
+            continue;
+        }
         if (behaviour == target_behaviour::AnswersWithoutId)
             send("HTTP/1.1 200 X\r\nUpstream-Signature: s\r\nContent-Length: 9\r\n\r\nlate copy");
         if (behaviour == target_behaviour::AnswersOtherRequest)
--- a/fakes/target_behaviour.h
+++ b/fakes/target_behaviour.h
@@ -26,6 +26,8 @@
     /// The same in an answer in chunks: in the header of a chunk, or in a field behind the last chunk.
     EndlessChunkHeader,
     EndlessTrailer,
+    /// Runs the request and sends an answer with an empty body in chunks, its last bytes one by one.
+    DripsLastChunk,
     /// Runs the request and breaks off its answer: before the last chunk, with a chunk size that is no number, or by resetting an answer
     /// without a length.
     CutsChunks,
--- a/gypsumhub/core/http_feed.h
+++ b/gypsumhub/core/http_feed.h
@@ -19,14 +19,27 @@
     {
         error = {};
         auto read = size_t { 0 };
+        if (bytes.size() < m_minBytes) {
+            error = http::error::need_more;
+            return read;
+        }
         while (read < bytes.size() && !parser.is_done() && !error)
             read += parser.put(bytes + read, error);
+        m_minBytes = error == http::error::need_more && parser.is_header_done() && parser.chunked() ? minLastChunkBytes : 0;
         if (!error && !parser.is_done())
             error = http::error::need_more;
         if (error == http::error::need_more && parser.is_header_done() && bytes.size() - read > maxUnreadBytes)
             error = http::error::buffer_overflow;
         return read;
     }
+
+private:
+    // "0", CR LF, CR LF. Nothing shorter can follow between two chunks.
+    static constexpr auto minLastChunkBytes = size_t { 5 };
+
+    /// Bytes without which the parser is not called: having read the header of the last chunk, it ends the process when fewer bytes
+    /// than those of the whole last chunk follow.
+    size_t m_minBytes { 0 };
 };
 
 } // namespace gypsumhub
--- a/unit_tests/gateway/caller_bytes_test.cpp
+++ b/unit_tests/gateway/caller_bytes_test.cpp
@@ -24,6 +24,27 @@
 
 } // namespace
 
+// Guards against a node that ends itself when the last bytes of an empty body arrive one by one.
+TEST_CASE("a request with an empty body in chunks is served however its bytes are split")
+{
+    auto fleet = gateway_fixture {};
+    auto end = std::string("0\r\n\r\n");
+    for (auto pieces = 0U; pieces < 16; ++pieces) {
+        auto caller = raw_caller(gateway_fixture::callerAddress(0));
+        auto id = "split-" + std::to_string(pieces);
+        CAPTURE(id);
+        caller.send(raw_request { .id = id, .method = "DELETE", .path = "/unsafe/", .fields = "Transfer-Encoding: chunked\r\n" }.text());
+        for (auto index = size_t { 0 }; index < end.size(); ++index) {
+            // Each bit of `pieces` stands for a split.
+            if (index > 0 && (pieces >> (index - 1) & 1) != 0)
+                std::this_thread::sleep_for(std::chrono::milliseconds(10));
+            caller.send(end.substr(index, 1));
+        }
+        CHECK(caller.read().status == 200);
+        CHECK(fleet.executionsOf(id) == 1);
+    }
+}
+
 // Guards against a node that waits for the end of a chunk's header or of a trailer that never comes.
 TEST_CASE("a request whose chunk header or trailer does not end is refused at once")
 {
--- a/unit_tests/gateway/target_bytes_test.cpp
+++ b/unit_tests/gateway/target_bytes_test.cpp
@@ -91,3 +91,12 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(150));
     send("");
 }
+
+// Guards against a node that ends itself when the last bytes of an empty answer arrive one by one.
+TEST_CASE("an empty answer in chunks is complete also when its last bytes arrive one by one")
+{
+    auto fleet = gateway_fixture {};
+    fleet.setBehaviour(target_behaviour::DripsLastChunk);
+    CHECK(sendRequest(gateway_fixture::callerAddress(0), http::verb::post, "/unsafe/", "dripped").status == 200);
+    CHECK(fleet.executionsOf("dripped") == 1);
+}
--- a/unit_tests/platform/store_bytes_test.cpp
+++ b/unit_tests/platform/store_bytes_test.cpp
@@ -70,3 +70,13 @@
     CHECK(end.status != keyspace_status::Ok);
     CHECK(end.tookMs < maxCallMs);
 }
+
+// Guards against a node that ends itself when the last bytes of a store's answer arrive one by one.
+TEST_CASE("an answer of the store in chunks is read also when its bytes arrive one by one")
+{
+    auto body = std::string(R"({"items":[],"has_more":false,"store_revision":1})");
+    auto chunk = std::string("30\r\n") + body + "\r\n0\r\n\r\n";
+    REQUIRE(body.size() == 0x30);
+    CHECK(listFrom(chunkedHead + chunk, {}, std::chrono::milliseconds(5)).status == keyspace_status::Ok);
+    CHECK(listFrom(chunkedHead + std::string("0\r\n\r\n"), {}, std::chrono::milliseconds(5)).status != keyspace_status::Unanswered);
+}
