--- a/fakes/fake_keyspace_server.cpp
+++ b/fakes/fake_keyspace_server.cpp
@@ -14,6 +14,9 @@
     // A watch without changes is answered after this delay, so the fake needs no list of pending watches.
     constexpr auto emptyWatchDelay = milliseconds(30);
 
+    // Longer than any test: the answer never arrives.
+    constexpr auto lostAnswerDelay = seconds(600);
+
     auto itemOf(const std::string& key, const std::string& value, uint64_t revision) -> json::object
     {
         return { { "key", key }, { "value", toBase64(value) }, { "rev", revision } };
@@ -90,6 +93,18 @@
     m_isUnavailable = unavailable;
 }
 
+auto fake_keyspace_server::loseWatchAnswers(std::string prefix) -> void
+{
+    auto lock = std::lock_guard(m_mutex);
+    m_lostPrefix = std::move(prefix);
+}
+
+auto fake_keyspace_server::lostAnswers() -> int
+{
+    auto lock = std::lock_guard(m_mutex);
+    return m_lostAnswers;
+}
+
 auto fake_keyspace_server::keys(std::string_view prefix) -> std::vector<std::string>
 {
     auto lock = std::lock_guard(m_mutex);
@@ -169,6 +184,10 @@
     }
     auto response = fake_http_answer {};
     response.delay = events.empty() ? emptyWatchDelay : duration {};
+    if (!events.empty() && target.text("prefix") == m_lostPrefix) {
+        ++m_lostAnswers;
+        response.delay = lostAnswerDelay;
+    }
     response.body = json::serialize(json::object { { "events", events }, { "store_revision", m_content.revision } });
     return response;
 }
--- a/fakes/fake_keyspace_server.h
+++ b/fakes/fake_keyspace_server.h
@@ -23,6 +23,11 @@
     auto remove(const std::string& key) -> void;
     /// While the store is unavailable, it closes connections without an answer.
     auto setUnavailable(bool) -> void;
+    /// From now on, watches on `prefix` that have something to tell are not answered and their connections stay open; an empty prefix
+    /// ends this.
+    auto loseWatchAnswers(std::string prefix) -> void;
+    /// Number of watch answers lost so far.
+    auto lostAnswers() -> int;
     /// Ends all leases and removes the entries that are attached to them.
     auto endLeases() -> void;
     /// Keeps a copy of the present state for `restoreCopy`.
@@ -70,6 +75,8 @@
     content m_copy;
     uint64_t m_era { 1 };
     bool m_isUnavailable { false };
+    std::string m_lostPrefix;
+    int m_lostAnswers { 0 };
     boost::asio::io_context m_context { 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_workGuard;
     fake_http_server m_server;
--- a/gypsumhub/gateway/configuration_watcher.cpp
+++ b/gypsumhub/gateway/configuration_watcher.cpp
@@ -2,6 +2,7 @@
 
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/core/store_position.h"
+#include "gypsumhub/decision/selection/watch_timing.h"
 #include "gypsumhub/platform/configuration_document.h"
 #include "gypsumhub/platform/wire_names.h"
 
@@ -73,7 +74,7 @@
                 co_await m_access.backOff();
             continue;
         }
-        auto watched = co_await m_access.store().follow(key, revision, bootClockNow() + maxWatchTime);
+        auto watched = co_await m_access.store().follow(key, revision, bootClockNow() + watch_timing::maxConfigurationWait);
         if (m_access.recordCall("configuration", watched.status)) {
             revision = watched.value.revision;
             for (auto& change : watched.value.changes)
--- a/gypsumhub/gateway/node_watcher.cpp
+++ b/gypsumhub/gateway/node_watcher.cpp
@@ -4,6 +4,7 @@
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/core/hash.h"
 #include "gypsumhub/core/store_position.h"
+#include "gypsumhub/decision/selection/watch_timing.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -184,7 +185,7 @@
             continue;
         }
         auto now = bootClockNow();
-        auto watched = co_await m_access.store().follow(std::string(prefix), revision, m_hold.limit(now + maxWatchTime, now));
+        auto watched = co_await m_access.store().follow(std::string(prefix), revision, m_hold.limit(now + watch_timing::maxNodesWait, now));
         if (m_access.recordCall("nodes", watched.status)) {
             revision = watched.value.revision;
             for (auto& change : watched.value.changes) {
--- a/gypsumhub/gateway/store_access.h
+++ b/gypsumhub/gateway/store_access.h
@@ -56,8 +56,6 @@
 constexpr auto busyPeerDelay = milliseconds(50);
 /// Timeout of calls that the store answers without waiting; watches have their own.
 constexpr auto storeCallTimeout = milliseconds(1500);
-/// Duration of a watch without changes. Each watch costs one call, so it is long; the store allows 30 s.
-constexpr auto maxWatchTime = seconds(29);
 /// How often a node checks whether it has become the reader while another node reads for it.
 constexpr auto readerCheckInterval = milliseconds(200);
 
