--- a/gypsumhub/gateway/caller_connection.cpp
+++ b/gypsumhub/gateway/caller_connection.cpp
@@ -1,6 +1,7 @@
 #include "gypsumhub/gateway/caller_connection.h"
 
 #include "gypsumhub/core/clock.h"
+#include "gypsumhub/gateway/request_deadline.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -15,10 +16,12 @@
 
     // Bytes that are received ahead of the requests that may be read, at least.
     constexpr auto minReadAheadBytes = size_t { 64 * 1024 };
-    // How often a connection whose read-ahead is full is checked for having been closed.
+    // How often a connection that waits for memory, or whose read-ahead is full, is checked.
     constexpr auto spaceCheckInterval = milliseconds(100);
     // How often a stopping node that leaves bytes unread checks whether the last answer is written.
     constexpr auto holdCheckInterval = milliseconds(5);
+    // In seconds. A large body takes about this long to pass through a node.
+    constexpr auto memoryRetryAfter = std::string_view { "1" };
     // A caller that does not read its answer within this time is considered gone.
     constexpr auto writeTimeout = seconds(10);
     // Limits of discarding what a caller sends behind the last answer.
@@ -34,6 +37,8 @@
     {
         if (code == result_code::RequestTooLarge)
             return hasHeader ? 413 : 431;
+        if (code == result_code::QueueFull)
+            return 503;
         return code == result_code::RequestTooSlow ? 408 : 400;
     }
 
@@ -65,14 +70,16 @@
         isOpen = co_await receive();
         if (isOpen)
             co_await readRequests();
+        releaseUnreadMemory();
         updateReadDeadline();
     }
     handleCallerLeft();
 }
 
-auto caller_connection::hasSpace() const -> bool
+auto caller_connection::hasSpace() -> bool
 {
-    return m_buffer.size() < std::max<size_t>(minReadAheadBytes, limitsOf(m_context).headerBytes + m_received.size());
+    auto isShort = m_buffer.size() < std::max<size_t>(minReadAheadBytes, limitsOf(m_context).headerBytes + m_received.size());
+    return isShort && (m_unreadMemory.resize(m_buffer.size() + m_received.size()) || m_buffer.size() == 0);
 }
 
 auto caller_connection::receive() -> task<bool>
@@ -104,14 +111,25 @@
 
 auto caller_connection::waitForSpace() -> task<bool>
 {
-    while (m_intake == intake::Requests && !hasSpace()) {
+    while (m_intake == intake::Requests && (m_waitsForMemory || !hasSpace())) {
         if (!m_socket.is_open() || hasCallerClosed())
             co_return false;
         co_await sleepUntil(m_spaceTimer, bootClockNow() + spaceCheckInterval);
+        if (m_waitsForMemory)
+            co_await readRequests();
+        if (m_waitsForMemory && bootClockNow() >= m_memoryWaitUntil)
+            refuseBytes(result_code::QueueFull);
     }
     co_return true;
 }
 
+auto caller_connection::releaseUnreadMemory() -> void
+{
+    if (m_buffer.size() == 0 && m_buffer.capacity() > 2 * m_received.size())
+        m_buffer.shrink_to_fit();
+    m_unreadMemory.resize(m_buffer.size());
+}
+
 auto caller_connection::holdReading() -> task<>
 {
     // Once the last answer is written, bytes behind it are read again: to leave them would reset the connection and could destroy it.
@@ -134,7 +152,19 @@
 
 auto caller_connection::mayReadRequest() const -> bool
 {
-    return m_intake == intake::Requests && m_buffer.size() > 0 && m_pipeline.hasRoom();
+    return m_intake == intake::Requests && (m_buffer.size() > 0 || m_waitsForMemory) && m_pipeline.hasRoom();
+}
+
+auto caller_connection::reserveRequest() -> bool
+{
+    auto bytes = m_reader->memoryBytes();
+    auto isReserved = m_requestMemory.resize(bytes);
+    if (!isReserved && !m_waitsForMemory)
+        m_memoryWaitUntil = statedDeadline(m_reader->head(), m_requestBeganAt).value_or(m_requestBeganAt + limitsOf(m_context).idleLimit);
+    m_waitsForMemory = !isReserved;
+    if (!isReserved && !m_context.buffers.canHold(bytes))
+        refuseBytes(result_code::RequestTooLarge);
+    return isReserved;
 }
 
 auto caller_connection::readRequests() -> task<>
@@ -147,6 +177,8 @@
         }
         auto data = m_buffer.data();
         m_buffer.consume(m_reader->feed({ static_cast<const char*>(data.data()), data.size() }));
+        if (m_reader->state() != request_reader::progress::Failed && !reserveRequest())
+            co_return;
         switch (m_reader->state()) {
         case request_reader::progress::NeedMore:
             co_return;
@@ -182,6 +214,7 @@
 {
     auto added = pipelined_request { .isHead = isHeadRequest(message), .keepOpen = message.keep_alive(), .bodyBytes = message.body().size() };
     added.handler = std::make_shared<request_handler>(m_context, std::move(message), m_callerAddress, m_receivedAt);
+    added.memory = std::exchange(m_requestMemory, buffer_budget::reservation(m_context.buffers));
     added.mayOverlap = added.handler->isRetryable();
     if (!added.keepOpen)
         m_intake = intake::Ignored;
@@ -196,7 +229,13 @@
     ++m_context.counters.badRequests;
     m_context.log.write(log_class::Notable, "request_refused", { { "reason", describe(fault).name }, { "has_header", hasHeader } });
     m_intake = intake::Ignored;
-    m_pipeline.add({ .keepOpen = false, .isStarted = true, .reply = caller_reply(http::int_to_status(statusOf(fault, hasHeader)), 11) });
+    m_waitsForMemory = false;
+    m_reader.reset();
+    m_requestMemory.resize(0);
+    auto reply = caller_reply(http::int_to_status(statusOf(fault, hasHeader)), 11);
+    if (fault == result_code::QueueFull)
+        reply.set(http::field::retry_after, memoryRetryAfter);
+    m_pipeline.add({ .keepOpen = false, .isStarted = true, .reply = std::move(reply) });
     asio::co_spawn(
         m_context.io.get_executor(), [self = shared_from_this()]() -> task<> { co_await self->writeReplies(); }, asio::detached);
 }
--- a/gypsumhub/gateway/caller_connection.h
+++ b/gypsumhub/gateway/caller_connection.h
@@ -35,7 +35,11 @@
     auto hasUnreadBytes() -> bool;
     /// Waits while no more bytes can be held. Returns false when the caller has left meanwhile.
     auto waitForSpace() -> task<bool>;
-    auto hasSpace() const -> bool;
+    auto hasSpace() -> bool;
+    /// Returns memory that held bytes which are parsed by now.
+    auto releaseUnreadMemory() -> void;
+    /// Reserves memory for the request that is being read. Returns false when it has to wait, or is refused since it can never fit.
+    auto reserveRequest() -> bool;
     /// Whether the caller has closed its side, even if unread bytes precede the close.
     auto hasCallerClosed() -> bool;
     /// Parses the received bytes and starts the requests in them, as far as the pipeline has room.
@@ -67,6 +71,11 @@
     std::array<char, 8 * 1024> m_received {};
     /// Received bytes that are not parsed yet.
     beast::flat_buffer m_buffer;
+    buffer_budget::reservation m_unreadMemory { m_context.buffers };
+    buffer_budget::reservation m_requestMemory { m_context.buffers };
+    /// The request that is being read waits for memory until this time. Meanwhile nothing is received.
+    time_point m_memoryWaitUntil {};
+    bool m_waitsForMemory { false };
     size_t m_discardedBytes { 0 };
     time_point m_receivedAt {};
     /// When reading of the current request began.
--- a/gypsumhub/gateway/request_pipeline.h
+++ b/gypsumhub/gateway/request_pipeline.h
@@ -18,6 +18,8 @@
     /// The caller allows further requests after this one.
     bool keepOpen { true };
     size_t bodyBytes { 0 };
+    /// Of the request.
+    buffer_budget::reservation memory {};
     bool isStarted { false };
     std::optional<caller_reply> reply;
 };
--- a/gypsumhub/main/commands.cpp
+++ b/gypsumhub/main/commands.cpp
@@ -15,6 +15,7 @@
 #include <cstdlib>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <malloc.h>
 
 DEFINE_string(node, "", "operator address of a running node, IP:PORT");
 DEFINE_string(store, "", "addresses of the store, IP:PORT, comma-separated");
@@ -29,6 +30,7 @@
     constexpr auto programVersion = "0.1.0";
     // The largest fleet, with one log file per node.
     constexpr auto maxLogFiles = size_t { 4096 };
+    constexpr auto largeBufferBytes = 256 * 1024;
 
     auto nodeFromFlag() -> leaf::result<endpoint>
     {
@@ -62,6 +64,8 @@
     auto gateway(const command_arguments& arguments) -> leaf::result<void>
     {
         BOOST_LEAF_AUTO(settings, readGatewaySettings(arguments.front()));
+        // Large buffers return to the system when they are freed. Without a fixed threshold the allocator would keep up to 64 MB.
+        ::mallopt(M_MMAP_THRESHOLD, largeBufferBytes);
         auto server = gateway_node(std::move(settings), arguments.front());
         return server.run();
     }
--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -93,18 +93,18 @@
     static auto targetId(int index) -> std::string { return "i-target" + std::to_string(index); }
     static auto addressOf(int index, uint16_t port) -> endpoint { return { "127.0.7." + std::to_string(index + 1), port }; }
     /// Ports differ by process, since tests of several builds may run at the same time.
-    static auto portOf(int purpose) -> uint16_t { return static_cast<uint16_t>(20'000 + ::getpid() % 2'000 * 5 + purpose); }
+    static auto portOf(int purpose) -> uint16_t { return static_cast<uint16_t>(20'000 + ::getpid() % 2'000 * 6 + purpose); }
     static auto callerAddress(int index) -> endpoint { return addressOf(index, portOf(1)); }
 
-    auto configure(int version, const std::string& service) -> void
+    auto configure(int version, const std::string& service, int maxBodyBytes = 65'536) -> void
     {
         auto routeText = [&](const std::string& name, const std::string& kind) {
             return R"({"name":")" + name + R"(","host":"h.example","prefix":"/)" + name + R"(/","kind":")" + kind
                 + R"(","time_limit":"4000ms","latency_target":"2000ms","priority":1,"service":")" + service + R"(","max_attempts":2})";
         };
         auto text = R"({"version":"0000000)" + std::to_string(version) + R"(","routes":[)" + routeText("safe", "safe") + "," + routeText("unsafe", "unsafe")
-            + R"(],"services":[{"name":"bookdesk"},{"name":"empty"}],"limits":{"max_header_bytes":16384,"max_body_bytes":65536,)"
-              R"("header_read_limit":"3000ms","idle_limit":"15s"}})";
+            + R"(],"services":[{"name":"bookdesk"},{"name":"empty"}],"limits":{"max_header_bytes":16384,"max_body_bytes":)"
+            + std::to_string(maxBodyBytes) + R"(,"header_read_limit":"3000ms","idle_limit":"15s"}})";
         store.put("op/config", text);
     }
 
@@ -155,6 +155,26 @@
         return total;
     }
 
+    /// Number of log lines of all nodes with this event.
+    auto linesOfEvent(const std::string& event) -> int
+    {
+        auto count = 0;
+        auto* reading = std::fopen(m_logPath.c_str(), "r");
+        auto line = std::array<char, 4096> {};
+        while (std::fgets(line.data(), line.size(), reading))
+            count += std::string_view(line.data()).find("\"" + event + "\"") != std::string_view::npos ? 1 : 0;
+        std::fclose(reading);
+        return count;
+    }
+
+    /// The value of a metric without labels.
+    auto metricOf(int index, const std::string& name) -> size_t
+    {
+        auto text = sendRequest(addressOf(index, portOf(5)), http::verb::get, "/metrics", "").body;
+        auto position = text.find("\ngypsumhub_" + name + " ");
+        return position == std::string::npos ? 0 : static_cast<size_t>(std::stod(text.substr(text.find(' ', position))));
+    }
+
     /// The log lines of all nodes that contain a request's id. Waits until the line of the request's end has been written.
     auto linesOf(const std::string& id) -> std::string
     {
@@ -194,6 +214,7 @@
         settings.callerAddress = callerAddress(index);
         settings.readinessAddress = addressOf(index, portOf(2));
         settings.directoryAddress = addressOf(index, portOf(3));
+        settings.metricsAddress = addressOf(index, portOf(5));
         settings.peerAddress = addressOf(index, portOf(4));
         settings.storeAddress = { "127.0.0.1", store.port() };
         settings.stopLimit = m_stopLimit;
