BUDGET: retries stay within the fleet's bound while nodes are killed and started again in series

Cause: a process that starts has the whole of its reserve again and knows nothing of what its predecessor spent; and requests were counted for up to 12 s.

--- a/gypsumhub/decision/selection/fleet_retry_budget.cpp
+++ b/gypsumhub/decision/selection/fleet_retry_budget.cpp
@@ -1,12 +1,14 @@
 #include "gypsumhub/decision/selection/fleet_retry_budget.h"
 
+#include <algorithm>
+
 namespace gypsumhub {
 
 namespace {
 
     constexpr auto bucketsInWindow = 10;
-    // Compensates for buckets that are not aligned with the window in which the bound must hold.
-    constexpr auto safetyFactor = 0.9;
+    // Compensates for a load that falls while retries are sent.
+    constexpr auto safetyFactor = 0.95;
 
 } // namespace
 
@@ -31,10 +33,13 @@
     auto& latest = current(now);
     auto requests = 0.0, retries = 0.0;
     for (auto& bucket : m_buckets) {
-        requests += bucket.requests;
+        // Retries are counted for longer than the window, requests for less, so that the bound holds wherever the window begins.
+        requests += bucket.beganAt + m_settings.window > now ? bucket.requests : 0;
         retries += bucket.retries;
     }
-    auto budget = safetyFactor * (m_settings.share * requests + m_settings.reserve * reserveShare);
+    auto age = (now - m_settings.startedAt).seconds() / m_settings.window.seconds();
+    auto share = age < 1 ? 0 : m_settings.share * requests;
+    auto budget = safetyFactor * (share + m_settings.reserve * reserveShare * std::min(age, 1.0));
     if (retries + 1 > budget)
         return false;
     ++latest.retries;
--- a/gypsumhub/gateway/gateway_context.cpp
+++ b/gypsumhub/gateway/gateway_context.cpp
@@ -152,7 +152,7 @@
 {
     auto found = dispatchers.find(service);
     if (found == dispatchers.end()) {
-        auto retryBudget = fleet_retry_budget::settings { settings.retryShare, settings.retryReserve, settings.retryWindow };
+        auto retryBudget = fleet_retry_budget::settings { settings.retryShare, settings.retryReserve, settings.retryWindow, startedAt };
         found = dispatchers.emplace(std::string(service), std::make_unique<service_dispatcher>(io, std::string(service), balancer, retryBudget, [this] { onPermitsNeeded(); })).first;
     }
     return *found->second;
