BUDGET: a target that asks for a pause gets nothing from that node until it ends

Cause: the field was read nowhere. Change: decoded in platform/stated_pause.h; the target takes no requests of this node until the end, 60 s at most. While all targets of a service pause, requests are refused at once with the earliest end in Retry-After. Log target_paused, metrics target_pauses_total and malformed_pauses_total.

--- a/fakes/fake_gateway_target.cpp
+++ b/fakes/fake_gateway_target.cpp
@@ -148,6 +148,18 @@
     m_statedLimit = std::move(requestsPerSecond);
 }
 
+auto fake_gateway_target::setRetryAfter(std::string seconds) -> void
+{
+    auto lock = std::lock_guard(m_mutex);
+    m_retryAfter = std::move(seconds);
+}
+
+auto fake_gateway_target::pauseLine() -> std::string
+{
+    auto lock = std::lock_guard(m_mutex);
+    return m_retryAfter.empty() ? std::string {} : "Retry-After: " + m_retryAfter + "\r\n";
+}
+
 auto fake_gateway_target::statementLines() -> std::string
 {
     auto lock = std::lock_guard(m_mutex);
@@ -228,7 +240,7 @@
         auto isRejecting = behaviour == target_behaviour::Sheds || (behaviour == target_behaviour::RepeatsRejection && rejection.empty());
         if (isRejecting) {
             recordArrival(id, false, current);
-            rejection = "HTTP/1.1 503 X\r\nRequest-Id: " + id + "\r\n" + statementLines() + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            rejection = "HTTP/1.1 503 X\r\nRequest-Id: " + id + "\r\n" + statementLines() + pauseLine() + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
             send(rejection);
             continue;
         }
--- a/fakes/fake_gateway_target.h
+++ b/fakes/fake_gateway_target.h
@@ -40,6 +40,8 @@
     auto setServiceTime(duration serviceTime) -> void { m_serviceTimeNs = serviceTime.ns; }
     /// States a limit of this many requests per second in all answers; empty for none.
     auto setStatedLimit(std::string requestsPerSecond) -> void;
+    /// Asks for a pause of this length in all answers that reject a request; empty for none.
+    auto setRetryAfter(std::string seconds) -> void;
     /// States in all answers that the target is leaving.
     auto setLeaving(bool isLeaving) -> void { m_isLeaving = isLeaving; }
     auto arrivals() -> std::vector<recorded_request>;
@@ -68,6 +70,7 @@
     auto serveRequests(boost::asio::ip::tcp::socket&, const incarnation&) -> void;
     /// The header lines of what the target states about itself.
     auto statementLines() -> std::string;
+    auto pauseLine() -> std::string;
     /// Returns false if the target has crashed.
     auto recordArrival(const std::string& requestId, bool isRun, const incarnation&) -> bool;
     /// Returns false if the target crashes before the time is over.
@@ -88,6 +91,7 @@
     std::atomic<target_behaviour> m_behaviour { target_behaviour::Normal };
     std::atomic<int64_t> m_serviceTimeNs { 0 };
     std::string m_statedLimit;
+    std::string m_retryAfter;
     std::atomic<bool> m_isLeaving { false };
     std::vector<recorded_request> m_arrivals;
     std::vector<std::thread> m_connections;
--- a/gypsumhub/decision/selection/load_balancer.cpp
+++ b/gypsumhub/decision/selection/load_balancer.cpp
@@ -11,6 +11,8 @@
 
     // A full target frees a slot within about this time.
     constexpr auto fullBackoff = milliseconds(100);
+    // A wrong value cannot keep a sound target out for longer.
+    constexpr auto maxPause = seconds(60);
     // Hysteresis: a target is classified as bad above the first probability of being bad, and as good again below the second.
     constexpr auto badThreshold = 0.9;
     constexpr auto goodThreshold = 0.1;
@@ -306,4 +308,24 @@
     target.fullUntil = now + fullBackoff;
 }
 
+auto load_balancer::recordPause(target_state& target, duration length, time_point now) -> bool
+{
+    auto until = now + std::min(length, maxPause);
+    auto isNew = now >= target.pausedUntil;
+    target.pausedUntil = std::max(target.pausedUntil, until);
+    return isNew;
+}
+
+auto load_balancer::pausedUntil(std::string_view service, time_point now) -> time_point
+{
+    auto earliest = never;
+    for (auto& target : serviceOf(service).targets) {
+        if (target->acceptsRequests(now))
+            return {};
+        if (!target->isLeaving(now))
+            earliest = std::min(earliest, target->pausedUntil);
+    }
+    return earliest == never ? time_point {} : earliest;
+}
+
 } // namespace gypsumhub
--- a/gypsumhub/decision/selection/load_balancer.h
+++ b/gypsumhub/decision/selection/load_balancer.h
@@ -79,6 +79,10 @@
     auto recordLeavingReport(const leaving_target&, time_point now) -> bool;
     /// Starts a backoff after the target declined a request because it was full.
     auto recordFull(target_state&, time_point now) -> void;
+    /// Records that the target asked this node for a pause. A shorter one does not end a longer one. Returns whether it is new.
+    auto recordPause(target_state&, duration length, time_point now) -> bool;
+    /// The earliest end of a pause while all targets of the service that are not leaving are paused, otherwise zero.
+    auto pausedUntil(std::string_view service, time_point now) -> time_point;
 
     auto model(std::string_view service) -> service_model&;
     /// The targets of the service in this data centre that accept requests and have received none from this node for `idle`.
--- a/gypsumhub/decision/selection/target_state.h
+++ b/gypsumhub/decision/selection/target_state.h
@@ -35,9 +35,12 @@
     bool isClosed { false };
     /// The target stated in an answer that it is leaving. It receives no new requests until then.
     time_point leavingUntil {};
+    /// The target asked this node to send it nothing until then.
+    time_point pausedUntil {};
 
+    auto isLeaving(time_point now) const -> bool { return registration.isDraining || isClosed || now < leavingUntil; }
     /// Whether the target takes new requests at all, now or when a slot is free.
-    auto acceptsRequests(time_point now) const -> bool { return !registration.isDraining && !isClosed && now >= leavingUntil; }
+    auto acceptsRequests(time_point now) const -> bool { return !isLeaving(now) && now >= pausedUntil; }
 };
 
 } // namespace gypsumhub
--- a/gypsumhub/gateway/crash_watcher.cpp
+++ b/gypsumhub/gateway/crash_watcher.cpp
@@ -60,7 +60,7 @@
     auto error = co_await connectTo(address);
     auto check = std::move(m_checks.extract(targetId).mapped());
     // A target that was leaving has ended as planned.
-    auto wasLeaving = !check.target->acceptsRequests(bootClockNow());
+    auto wasLeaving = check.target->isLeaving(bootClockNow());
     if (error == asio::error::connection_refused && !wasLeaving && !m_context.hasLostPaths(check.target->registration.service))
         reportCrash(check);
 }
--- a/gypsumhub/gateway/gateway_context.cpp
+++ b/gypsumhub/gateway/gateway_context.cpp
@@ -4,6 +4,7 @@
 #include "gypsumhub/core/deadline_timer.h"
 #include "gypsumhub/core/hash.h"
 #include "gypsumhub/decision/selection/start_hold.h"
+#include "gypsumhub/platform/stated_pause.h"
 
 #include <algorithm>
 
@@ -143,6 +144,30 @@
             { "long_run_probability", balancer.model(target.registration.service).rates().stationaryProbabilityBad() } });
 }
 
+auto gateway_context::recordDecline(target_state& target, const http::response_header<>& head, time_point now) -> void
+{
+    balancer.recordFull(target, now);
+    if (head.result() != http::status::service_unavailable)
+        return;
+    auto pause = readStatedPause(head);
+    if (pause.isMalformed) {
+        ++counters.malformedPauses;
+        return;
+    }
+    if (!pause.length)
+        return;
+    ++counters.pauses;
+    if (balancer.recordPause(target, *pause.length, now))
+        log.write(log_class::Notable, "target_paused", { { "target", target.registration.id }, { "service", target.registration.service }, { "for_ms", (target.pausedUntil - now).milliseconds() } });
+}
+
+auto gateway_context::noTargetRetryAfter(std::string_view service) -> duration
+{
+    auto now = bootClockNow();
+    auto until = balancer.pausedUntil(service, now);
+    return until > now ? until - now : defaultRetryAfter;
+}
+
 auto gateway_context::regionOf(std::string_view dataCentre) const -> std::string
 {
     return regionIn(settings, dataCentre);
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -28,6 +28,9 @@
 /// A connection inside the deployment takes less than a tenth of this; the rest allows for one lost packet.
 constexpr auto connectTimeout = milliseconds(450);
 
+/// When a caller is to come back if no target is available: time for one to register or recover.
+constexpr auto defaultRetryAfter = milliseconds(400);
+
 /// A request in flight at a target, or at the node that it was relayed to; `target` is then null.
 struct active_attempt {
     std::shared_ptr<target_state> target;
@@ -62,6 +65,10 @@
     auto lostHosts() const -> std::vector<std::string>;
     /// Records the result of opening a connection to a target of the service.
     auto recordConnect(std::string_view service, std::string_view target, bool isOpen, time_point startedAt) -> void;
+    /// Records an answer of a target that did not run a request since it was full or asks for a pause.
+    auto recordDecline(target_state&, const http::response_header<>&, time_point now) -> void;
+    /// When a caller is to come back that was refused since no target of the service takes requests.
+    auto noTargetRetryAfter(std::string_view service) -> duration;
     /// Records an outcome received from another node.
     auto recordPeerOutcome(const peer_outcome&, std::string_view sender) -> void;
     auto logHealthChange(const target_state&, health_change, outcome_kind, std::string_view seenBy) -> void;
--- a/gypsumhub/gateway/gateway_counters.cpp
+++ b/gypsumhub/gateway/gateway_counters.cpp
@@ -33,6 +33,8 @@
         { "target_crashes_total", "Targets that ended with requests of this node in flight.", &gateway_counters::targetCrashes },
         { "quarantine_refusals_total", "Requests refused since they crash the targets that run them.", &gateway_counters::quarantineRefusals },
         { "malformed_limits_total", "Answers whose rate limit could not be read.", &gateway_counters::malformedLimits },
+        { "target_pauses_total", "Answers in which a target asked this node for a pause.", &gateway_counters::pauses },
+        { "malformed_pauses_total", "Answers of targets with a Retry-After that is no number of seconds.", &gateway_counters::malformedPauses },
         { "leaving_statements_total", "Targets that became known to be leaving by their answers to this node or another one.", &gateway_counters::leavingStatements },
         { "late_registrations_total", "Registrations read from the store that seemed older than the known ones.", &gateway_counters::lateRegistrations },
         { "permit_requests_total", "Requests of this node for permits of targets with a limit.", &gateway_counters::permitRequests },
--- a/gypsumhub/gateway/path_prober.cpp
+++ b/gypsumhub/gateway/path_prober.cpp
@@ -30,7 +30,8 @@
         auto candidates = std::vector<probe_candidate> {};
         for (auto& target : m_context.balancer.targetsOf(service)) {
             auto bad = target->health.probabilityBad(now, m_context.balancer.model(service).rates());
-            if (target->acceptsRequests(now))
+            // A probe opens a connection only, which a paused target does not mind.
+            if (!target->isLeaving(now))
                 candidates.push_back({ &target->registration, bad < maxProbabilityBad });
         }
         for (auto& id : monitor.beginProbes(candidates, now)) {
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -25,8 +25,6 @@
     constexpr auto minTimeLeft = milliseconds(20);
     constexpr auto noRoom = "no_room";
     constexpr auto quarantined = "quarantined";
-    // Time for a target to register or recover.
-    constexpr auto noTargetRetryAfter = milliseconds(400);
     constexpr auto notReadyRetryAfter = milliseconds(500);
 
 } // namespace
@@ -96,7 +94,7 @@
     m_dispatcher = &m_context.dispatcher(chooseService());
     m_context.counters.relaysReceived += m_relayed ? 1 : 0;
     if (m_relayed && hasLostPaths())
-        co_return refuse("target_paths_lost", noTargetRetryAfter);
+        co_return refuse("target_paths_lost", defaultRetryAfter);
     if (!isToBeRelayed()) {
         m_context.demand.recordRequest(m_route->host, m_arrivedAt);
         m_dispatcher->retryBudget().recordRequest(m_arrivedAt);
@@ -125,7 +123,7 @@
         if (placed.end != placement_end::Placed) {
             m_reason = placed.end == placement_end::NoTarget ? "no_target" : placed.end == placement_end::NoCapacity ? noRoom
                                                                                                                      : "caller_left";
-            auto retryAfter = placed.end == placement_end::NoTarget ? noTargetRetryAfter : placed.predictedWait;
+            auto retryAfter = placed.end == placement_end::NoTarget ? m_context.noTargetRetryAfter(m_dispatcher->service()) : placed.predictedWait;
             co_return m_mayHaveRun ? finalReply() : refuse(m_reason, retryAfter);
         }
         m_context.counters.queueingDelay.record(bootClockNow() - m_arrivedAt);
@@ -294,7 +292,7 @@
         ++m_context.counters.declinedByTarget;
         m_reason = "target_declined";
         if (status != 421)
-            m_context.balancer.recordFull(target, now);
+            m_context.recordDecline(target, answer, now);
         return attempt_end::NotRun;
     }
     m_mayHaveRun = true;
