--- a/gypsumhub/proxy/target_exchange.cpp
+++ b/gypsumhub/proxy/target_exchange.cpp
@@ -1,5 +1,7 @@
 #include "gypsumhub/proxy/target_exchange.h"
 
+#include "gypsumhub/store/http_reading.h"
+
 #include "gypsumhub/proxy/header_names.h"
 
 #include <algorithm>
@@ -100,6 +102,7 @@
 {
     for (auto count = 0; count < maxInterimAnswers; ++count) {
         storage.emplace();
+        m_feed = {};
         storage->header_limit(maxAnswerHeaderBytes);
         storage->body_limit(boost::none);
         storage->skip(withoutBody);
@@ -135,7 +138,7 @@
         part.data = body.data() + filled;
         part.size = body.size() - filled;
         auto offered = part.size;
-        auto [error, bytes] = co_await http::async_read(m_connection.socket(), m_connection.buffer(), parser, useTask);
+        auto error = co_await readHttpBody(m_connection.socket(), m_connection.buffer(), parser, m_feed);
         filled += offered - part.size;
         if (error && error != http::error::need_buffer)
             co_return error;
@@ -164,7 +167,7 @@
         auto& part = parser.get().body();
         part.data = buffer.data();
         part.size = buffer.size();
-        auto [error, bytes] = co_await http::async_read(m_connection.socket(), m_connection.buffer(), parser, useTask);
+        auto error = co_await readHttpBody(m_connection.socket(), m_connection.buffer(), parser, m_feed);
         if (error && error != http::error::need_buffer)
             co_return error;
         auto received = std::string_view(buffer.data(), buffer.size() - part.size);
--- a/gypsumhub/proxy/target_exchange.h
+++ b/gypsumhub/proxy/target_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gypsumhub/core/http_feed.h"
 #include "gypsumhub/decision/attempt_report.h"
 #include "gypsumhub/decision/request/request_state.h"
 #include "gypsumhub/proxy/answer_sink.h"
@@ -52,6 +53,9 @@
 private:
     using parser = http::response_parser<http::buffer_body>;
 
+    /// Of the answer that is being read.
+    http_feed m_feed;
+
     auto send(const outbound&) -> task<bool>;
     auto readHead(std::optional<parser>&, bool withoutBody) -> task<error_code>;
     auto readBuffered(parser&, target_answer&) -> task<error_code>;
--- a/gypsumhub/store/http_connection.h
+++ b/gypsumhub/store/http_connection.h
@@ -8,6 +8,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -69,7 +70,9 @@
     endpoint m_address;
     boost::asio::io_context m_context { 1 };
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
+    /// Bounds what the store can send in a chunk's header or in a trailer.
+    static constexpr auto maxUnreadBytes = size_t { 64 * 1024 };
+    boost::beast::flat_buffer m_buffer { maxUnreadBytes };
     bool m_isOpen { false };
     /// An idle connection is not reused after this instant, since the server may be about to close it.
     time_point m_reuseUntil;
--- a/gypsumhub/store/http_reading.h
+++ b/gypsumhub/store/http_reading.h
@@ -23,6 +23,41 @@
         return 0;
 }
 
+/// Reads the next bytes of a message behind those in `buffer`. Returns `end_of_stream` when the connection ended before the message began.
+template <typename Stream, bool isRequest>
+auto receiveHttpBytes(Stream& stream, beast::flat_buffer& buffer, http::basic_parser<isRequest>& parser, size_t readBytes) -> task<error_code>
+{
+    auto [error, read] = co_await stream.async_read_some(buffer.prepare(readBytes), useTask);
+    buffer.commit(read);
+    if (error != asio::error::eof)
+        co_return error;
+    // The end of the connection also ends a body without a length.
+    auto end = error_code(http::error::end_of_stream);
+    if (parser.got_some())
+        parser.put_eof(end);
+    co_return end;
+}
+
+/// Reads the body of a message until it is complete, or until the parser needs another buffer for it (`need_buffer`). `feed` has to be
+/// the same for all calls of a message.
+template <typename Stream, bool isRequest, typename Body>
+auto readHttpBody(Stream& stream, beast::flat_buffer& buffer, http::parser<isRequest, Body>& parser, http_feed& feed) -> task<error_code>
+{
+    auto error = error_code {};
+    parser.eager(true);
+    for (;;) {
+        if (buffer.size() > 0)
+            buffer.consume(feed.put(parser, buffer.cdata(), error));
+        if (parser.is_done())
+            co_return error_code {};
+        if (error && error != http::error::need_more)
+            co_return error;
+        error = co_await receiveHttpBytes(stream, buffer, parser, maxReadBytes);
+        if (error)
+            co_return error;
+    }
+}
+
 /// Reads one complete HTTP message, for which all bytes that are held are reserved. Fails with `no_buffer_space` when the budget does
 /// not allow more bytes, and with `end_of_stream` when the connection ended before the message began. Bytes that follow the message
 /// stay in `buffer`.
@@ -41,14 +76,7 @@
         auto readBytes = std::clamp(bodyBytes, minReadBytes, maxReadBytes);
         if (!reservation.resize(memoryOfBody(parser.get().body(), readBytes) + buffer.size() + readBytes))
             co_return asio::error::no_buffer_space;
-        auto [readError, read] = co_await stream.async_read_some(buffer.prepare(readBytes), useTask);
-        buffer.commit(read);
-        if (!readError)
-            continue;
-        // The end of the connection also ends a body without a length.
-        error = readError == asio::error::eof ? error_code(http::error::end_of_stream) : readError;
-        if (readError == asio::error::eof && parser.got_some())
-            parser.put_eof(error);
+        error = co_await receiveHttpBytes(stream, buffer, parser, readBytes);
         if (error)
             co_return error;
     }
--- a/unit_tests/proxy/target_failure_test.cpp
+++ b/unit_tests/proxy/target_failure_test.cpp
@@ -1,3 +1,5 @@
+#include "fakes/fake_raw_server.h"
+#include "gypsumhub/core/clock.h"
 #include "unit_tests/proxy/proxy_fixture.h"
 
 #include <boost/json/parse.hpp>
@@ -47,6 +49,33 @@
     }
 }
 
+// Guards against a server that holds all bytes of an answer without end until its machine has no memory left.
+TEST_CASE("an answer whose chunk header or trailer does not end is given up before the deadline")
+{
+    auto head = std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (auto& begin : { head + "1;", head + "0\r\nField: " }) {
+        CAPTURE(begin);
+        auto target = fake_raw_server("127.0.0.1", begin, std::string(64 * 1024, 'x'));
+        auto fixture = proxy_fixture(0);
+        fixture.addresses.push_back({ "127.0.0.1", target.port() });
+        fixture.start();
+        auto sentAt = steadyClockNow();
+        auto answer = fixture.caller().request("POST", "/book", deadlineField(seconds(10)), "x");
+        CHECK(answer["Gypsumhub-Outcome"] == "unknown");
+        CHECK(steadyClockNow() - sentAt < seconds(2));
+    }
+}
+
+// Guards against a server that ends itself when the last bytes of an empty answer arrive one by one.
+TEST_CASE("an empty answer in chunks is read also when its bytes arrive one by one")
+{
+    auto target = fake_raw_server("127.0.0.1", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", {}, std::chrono::milliseconds(5));
+    auto fixture = proxy_fixture(0);
+    fixture.addresses.push_back({ "127.0.0.1", target.port() });
+    fixture.start();
+    CHECK(fixture.caller().request("POST", "/book", deadlineField(seconds(10)), "x")["Gypsumhub-Result"] == "0 ok");
+}
+
 TEST_CASE("an idempotent request is retried on another target when the first one fails")
 {
     for (auto fault : { fake_fault::Errors, fake_fault::Wrong, fake_fault::Cut, fake_fault::Shed, fake_fault::Drain }) {
