FAULT: a settings file of any size is read in bounded time and memory at a SIGHUP

Seen in a test only: a SIGHUP with a settings file of 10 MB of faulty lines held up a node's requests for more than 1 s; with one of 1 MB of different keys (a search over all keys for each line) a caller's connection ended without an answer. Cause: the file was read and parsed whole on the thread that serves. A gateway's settings have about 40 keys; more than 64 KB are now refused as unreadable, and the settings in force stay. Ruled out: a directory in place of the file, a file cut at every byte, empty ones and zero bytes end no node (LEAF hands the exception of the stream to the handler of the reload).

--- a/gypsumhub/config/gateway_settings_reader.cpp
+++ b/gypsumhub/config/gateway_settings_reader.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+    // A node reads the file while it serves: the time and memory that a file of any content takes is bounded.
+    constexpr auto maxSettingsBytes = size_t { 64 * 1024 };
+
     // Data centre names contain no colon, so "NAME:REGION" is split at the first one.
     auto readDataCentres(section_reader& reader, gateway_settings& settings) -> void
     {
@@ -139,7 +142,7 @@
 
 auto readGatewaySettings(const std::string& path) -> leaf::result<gateway_settings>
 {
-    BOOST_LEAF_AUTO(document, readIni(path, result_code::SettingsInvalid));
+    BOOST_LEAF_AUTO(document, readIni(path, result_code::SettingsInvalid, maxSettingsBytes));
     return buildGatewaySettings(document);
 }
 
--- a/gypsumhub/config/ini_document.cpp
+++ b/gypsumhub/config/ini_document.cpp
@@ -1,9 +1,10 @@
 #include "gypsumhub/config/ini_document.h"
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <ini.h>
-#include <iterator>
+#include <istream>
 #include <unordered_map>
 #include <utility>
 
@@ -15,6 +16,18 @@
     constexpr auto maxLineBytes = size_t { 4096 };
     /// The library truncates longer keys silently.
     constexpr auto maxKeyBytes = size_t { 48 };
+    constexpr auto readBytes = size_t { 4096 };
+
+    /// Stops when more than `maxBytes` have been read.
+    auto readText(std::istream& stream, size_t maxBytes) -> std::string
+    {
+        auto text = std::string {};
+        auto part = std::array<char, readBytes> {};
+        // An iterator over the stream's buffer would throw what `read` reports by the state of the stream, such as that the file is a directory.
+        while (text.size() <= maxBytes && (stream.read(part.data(), part.size()) || stream.gcount() > 0))
+            text.append(part.data(), static_cast<size_t>(stream.gcount()));
+        return text;
+    }
 
     auto trim(std::string_view text) -> std::string_view
     {
@@ -140,14 +153,16 @@
     return ini_parser(file, code).parse(text);
 }
 
-auto readIni(const std::string& path, result_code code) -> leaf::result<ini_document>
+auto readIni(const std::string& path, result_code code, size_t maxBytes) -> leaf::result<ini_document>
 {
     auto stream = std::ifstream(path, std::ios::binary);
     if (!stream)
         return failWith({ result_code::FileUnreadable, "the file cannot be opened", path, 0, "check the path and its permissions" });
-    auto text = std::string(std::istreambuf_iterator<char>(stream), {});
+    auto text = readText(stream, maxBytes);
     if (stream.bad())
         return failWith({ result_code::FileUnreadable, "the file cannot be read", path, 0, "check the file" });
+    if (text.size() > maxBytes)
+        return failWith({ result_code::FileUnreadable, "the file is too large", path, 0, "write at most " + std::to_string(maxBytes) + " bytes" });
     return parseIni(text, path, code);
 }
 
--- a/gypsumhub/config/ini_document.h
+++ b/gypsumhub/config/ini_document.h
@@ -3,6 +3,7 @@
 #include "gypsumhub/core/fault.h"
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,7 +38,8 @@
 /// header, duplicate keys, duplicate sections, and lines or keys that are too long. `file` is named in faults.
 auto parseIni(std::string_view text, std::string_view file, result_code code) -> leaf::result<ini_document>;
 
-/// Reads and parses an INI file. Fails with `FileUnreadable` when the file cannot be read, else as `parseIni` does.
-auto readIni(const std::string& path, result_code code) -> leaf::result<ini_document>;
+/// Reads and parses an INI file. Fails with `FileUnreadable` when the file cannot be read or has more than `maxBytes`, else as `parseIni`
+/// does.
+auto readIni(const std::string& path, result_code code, size_t maxBytes = std::numeric_limits<size_t>::max()) -> leaf::result<ini_document>;
 
 } // namespace gypsumhub
