LOST: kept connections to a target that started again elsewhere under its id are not used any more

Callers saw, in a test: after a target's entry had changed to another address and incarnation without a removal in between, all 8 of 8 requests still went over kept connections to the address of before, where the process of before still served (16 runs there, 0 at the new one). If that process is gone or silent instead, a request sent on them may be lost, which was not tested. Cause: only a removal dropped the idle connections, which are kept by target id. The case of the moved target failed before and passes now. Registrations that vanish for 5 to 60 ms and come back as another incarnation under work of 0.3 to 0.8 s: passed before and after.

--- a/gypsumhub/gateway/target_watcher.cpp
+++ b/gypsumhub/gateway/target_watcher.cpp
@@ -171,8 +171,13 @@
         if (change.isRemoval) {
             m_access.context().balancer.remove(entry.id);
             m_access.context().connections.removeTarget(entry.id);
-        } else
+        } else {
+            auto known = m_access.context().balancer.find(entry.id);
             m_access.context().balancer.put(entry, now, m_access.context().hasTargetListing);
+            // Connections of the earlier incarnation lead to its address.
+            if (known && known->isClosed)
+                m_access.context().connections.removeTarget(entry.id);
+        }
         auto what = change.isRemoval ? "target_removed" : entry.isDraining ? "target_draining"
                                                                            : "target_registered";
         m_access.context().log.write(log_class::Notable, what,
