FAULT: an exception ends one connection or one step of a loop, with a log line and a counter

Cause looked for: coroutines were detached, so that an exception in a watch, the registration or the catching up with a peer ended that loop silently (and left the flag of the catch-up set), and one in tick, accepting or receiving datagrams ended the loop for good. failure_guard.h is the last guard: the watches and the registration begin anew after 100 ms; tick, accept, datagrams and signals go on with the next; a connection ends alone. Log line internal_failure, counter internal_failures_total. What still ends silently: the requests that caller_connection.cpp spawns, and http_responder and peer_channel.

--- a/gypsumhub/gateway/configuration_watcher.cpp
+++ b/gypsumhub/gateway/configuration_watcher.cpp
@@ -3,12 +3,11 @@
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/core/store_position.h"
 #include "gypsumhub/decision/selection/watch_timing.h"
+#include "gypsumhub/gateway/failure_guard.h"
 #include "gypsumhub/platform/configuration_document.h"
 #include "gypsumhub/platform/wire_names.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace gypsumhub {
 
@@ -29,14 +28,16 @@
 
 auto configuration_watcher::start() -> void
 {
-    asio::co_spawn(m_access.context().io.get_executor(), watch(), asio::detached);
+    spawnLoop(m_access.context(), "configuration_watch", [this] { return watch(); });
 }
 
 auto configuration_watcher::handleHello(const node_hello& hello) -> void
 {
     auto& routes = m_access.context().routes;
-    if (routes && hello.configurationVersion > routes->version() && !m_isCatchingUp)
-        asio::co_spawn(m_access.context().io.get_executor(), catchUp(hello.name, hello.configurationVersion), asio::detached);
+    if (!routes || hello.configurationVersion <= routes->version() || m_isCatchingUp)
+        return;
+    m_isCatchingUp = true;
+    spawnGuarded(m_access.context(), "configuration_catch_up", catchUp(hello.name, hello.configurationVersion), [this] { m_isCatchingUp = false; });
 }
 
 auto configuration_watcher::list() const -> std::optional<key_listing>
@@ -88,7 +89,6 @@
 
 auto configuration_watcher::catchUp(std::string informant, uint64_t version) -> task<>
 {
-    m_isCatchingUp = true;
     auto& context = m_access.context();
     auto storeFallbackAt = bootClockNow() + storeFallbackDelay;
     auto unreachable = std::vector<std::string> {};
@@ -116,7 +116,6 @@
         else
             unreachable.push_back(source);
     }
-    m_isCatchingUp = false;
 }
 
 auto configuration_watcher::applyListing(const key_listing& listing) -> void
--- a/gypsumhub/gateway/crash_watcher.cpp
+++ b/gypsumhub/gateway/crash_watcher.cpp
@@ -1,11 +1,10 @@
 #include "gypsumhub/gateway/crash_watcher.h"
 
 #include "gypsumhub/core/clock.h"
+#include "gypsumhub/gateway/failure_guard.h"
 #include "gypsumhub/gateway/request_identity.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
 namespace gypsumhub {
@@ -38,7 +37,7 @@
     auto [found, isNew] = m_checks.try_emplace(id, pending_check { target, bootClockNow(), {} });
     found->second.inFlight.insert(found->second.inFlight.end(), { lost.ofCaller, lost.ofAnyCaller });
     if (isNew)
-        asio::co_spawn(m_context.io.get_executor(), runCheck(id), asio::detached);
+        spawnGuarded(m_context, "crash_check", runCheck(id));
 }
 
 auto crash_watcher::connectTo(endpoint address) -> task<error_code>
--- a/gypsumhub/gateway/gateway_counters.h
+++ b/gypsumhub/gateway/gateway_counters.h
@@ -65,6 +65,7 @@
     uint64_t permitRequests { 0 };
     uint64_t permitsGranted { 0 };
     uint64_t permitsDenied { 0 };
+    uint64_t internalFailures { 0 };
     latency_histogram queueingDelay;
     latency_histogram responseTime;
     latency_histogram totalTime;
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -4,6 +4,7 @@
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/core/reload_signal.h"
 #include "gypsumhub/gateway/caller_connection.h"
+#include "gypsumhub/gateway/failure_guard.h"
 #include "gypsumhub/platform/directory_document.h"
 #include "gypsumhub/platform/wire_names.h"
 
@@ -92,9 +93,11 @@
             co_await sleepUntil(timer, bootClockNow() + acceptPause);
             continue;
         }
-        auto connection = std::make_shared<caller_connection>(m_context, std::move(socket));
-        auto serve = [](std::shared_ptr<caller_connection> served) -> task<> { co_await served->run(); };
-        asio::co_spawn(m_context.io.get_executor(), serve(std::move(connection)), asio::detached);
+        callGuarded(m_context, "accept", [&] {
+            auto connection = std::make_shared<caller_connection>(m_context, std::move(socket));
+            auto serve = [](std::shared_ptr<caller_connection> served) -> task<> { co_await served->run(); };
+            spawnGuarded(m_context, "connection", serve(std::move(connection)));
+        });
     }
 }
 
@@ -103,26 +106,31 @@
     auto timer = steady_timer(m_context.io.get_executor());
     for (;;) {
         auto now = bootClockNow();
-        checkStalls(now);
-        for (auto& [service, dispatcher] : m_context.dispatchers)
-            dispatcher->dispatchWaiting();
-        m_watcher.tick();
-        m_crashes.tick(now);
-        m_limits.tick(now);
-        m_leaving.tick(now);
-        m_paths.tick(now);
-        if (now >= m_nextHello)
-            sendHello();
-        if (now >= m_nextSweep) {
-            m_context.connections.sweep(now);
-            m_context.relayConnections.sweep(now);
-            m_nextSweep = now + sweepInterval;
-        }
+        callGuarded(m_context, "tick", [&] { processTick(now); });
         m_context.log.flush();
         co_await sleepUntil(timer, now + (m_context.openRequests > 0 ? busyTick : idleTick));
     }
 }
 
+auto gateway_node::processTick(time_point now) -> void
+{
+    checkStalls(now);
+    for (auto& [service, dispatcher] : m_context.dispatchers)
+        dispatcher->dispatchWaiting();
+    m_watcher.tick();
+    m_crashes.tick(now);
+    m_limits.tick(now);
+    m_leaving.tick(now);
+    m_paths.tick(now);
+    if (now >= m_nextHello)
+        sendHello();
+    if (now >= m_nextSweep) {
+        m_context.connections.sweep(now);
+        m_context.relayConnections.sweep(now);
+        m_nextSweep = now + sweepInterval;
+    }
+}
+
 auto gateway_node::checkStalls(time_point now) -> void
 {
     // `onStall` may end attempts and change the list, so the stalled ones are collected first.
@@ -184,6 +192,11 @@
 }
 
 auto gateway_node::handleDatagram(std::optional<node_datagram> datagram, std::string_view address) -> void
+{
+    callGuarded(m_context, "datagram", [&] { applyDatagram(std::move(datagram), address); });
+}
+
+auto gateway_node::applyDatagram(std::optional<node_datagram> datagram, std::string_view address) -> void
 {
     if (!datagram || !m_context.memberView.isPeerAddress(datagram->sender, address)) {
         ++m_context.counters.badDatagrams;
@@ -230,10 +243,12 @@
     m_signals.async_wait([this](const error_code& error, int signal) {
         if (error)
             return;
-        if (signal == SIGHUP)
-            reload();
-        else
-            beginShutdown();
+        callGuarded(m_context, "signal", [&] {
+            if (signal == SIGHUP)
+                reload();
+            else
+                beginShutdown();
+        });
         waitForSignal();
     });
 }
--- a/gypsumhub/gateway/gateway_node.h
+++ b/gypsumhub/gateway/gateway_node.h
@@ -30,12 +30,14 @@
 private:
     auto acceptCallers() -> task<>;
     auto tick() -> task<>;
+    auto processTick(time_point now) -> void;
     auto waitForSignal() -> void;
     auto beginShutdown() -> void;
     auto reload() -> void;
     auto checkStalls(time_point now) -> void;
     auto sendHello() -> void;
     auto handleDatagram(std::optional<node_datagram>, std::string_view address) -> void;
+    auto applyDatagram(std::optional<node_datagram>, std::string_view address) -> void;
     auto isReady() const -> bool;
     auto answerReadiness(std::string_view target) -> http_answer;
     auto answerDirectory(std::string_view target) -> http_answer;
--- a/gypsumhub/gateway/node_watcher.cpp
+++ b/gypsumhub/gateway/node_watcher.cpp
@@ -5,9 +5,8 @@
 #include "gypsumhub/core/hash.h"
 #include "gypsumhub/core/store_position.h"
 #include "gypsumhub/decision/selection/watch_timing.h"
+#include "gypsumhub/gateway/failure_guard.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -81,8 +80,8 @@
 
 auto node_watcher::start() -> void
 {
-    asio::co_spawn(m_access.context().io.get_executor(), watch(), asio::detached);
-    asio::co_spawn(m_access.context().io.get_executor(), keepRegistration(), asio::detached);
+    spawnLoop(m_access.context(), "node_watch", [this] { return watch(); });
+    spawnLoop(m_access.context(), "registration", [this] { return keepRegistration(); });
 }
 
 auto node_watcher::handleReaderHello(const node_hello& hello) -> void
@@ -91,7 +90,8 @@
     if (!persists || m_isCatchingUp)
         return;
     m_mismatch.clear();
-    asio::co_spawn(m_access.context().io.get_executor(), catchUp(hello.name), asio::detached);
+    m_isCatchingUp = true;
+    spawnGuarded(m_access.context(), "node_catch_up", catchUp(hello.name), [this] { m_isCatchingUp = false; });
 }
 
 auto node_watcher::bucketDigests() const -> bucket_digests
@@ -202,13 +202,11 @@
 
 auto node_watcher::catchUp(std::string from) -> task<>
 {
-    m_isCatchingUp = true;
     auto listed = co_await m_access.listFrom(from, std::string(prefix), bucketDigests());
     if (listed.status == keyspace_status::Ok)
         applyListing(listed.value);
     else
         co_await m_access.backOff();
-    m_isCatchingUp = false;
 }
 
 auto node_watcher::applyEntry(const store_entry& entry) -> void
@@ -297,18 +295,18 @@
     co_return holder.value == m_lease;
 }
 
+auto node_watcher::endRegistration() -> task<>
+{
+    auto status = co_await m_access.store().endLease(m_lease, bootClockNow() + storeCallTimeout);
+    m_access.recordCall("unregister", status);
+}
+
 auto node_watcher::unregister() -> void
 {
     // A lease of an earlier era may be another node's by now.
     if (m_lease == 0 || m_leaseEra != m_access.store().era())
         return;
-    asio::co_spawn(
-        m_access.context().io.get_executor(),
-        [this]() -> task<> {
-            auto status = co_await m_access.store().endLease(m_lease, bootClockNow() + storeCallTimeout);
-            m_access.recordCall("unregister", status);
-        },
-        asio::detached);
+    spawnGuarded(m_access.context(), "unregistration", endRegistration());
 }
 
 } // namespace gypsumhub
--- a/gypsumhub/gateway/node_watcher.h
+++ b/gypsumhub/gateway/node_watcher.h
@@ -42,6 +42,7 @@
     auto catchUp(std::string from) -> task<>;
     /// Writes this node's registration with a lease, and renews the lease until the shutdown.
     auto keepRegistration() -> task<>;
+    auto endRegistration() -> task<>;
     /// Checks, after the store was restored, whether the lease still holds this node's registration: its number may have been given to
     /// another node. Also true when the store does not answer; the next renewal checks again.
     auto confirmLease() -> task<bool>;
--- a/gypsumhub/gateway/target_watcher.cpp
+++ b/gypsumhub/gateway/target_watcher.cpp
@@ -3,12 +3,10 @@
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/core/store_position.h"
 #include "gypsumhub/decision/selection/watch_timing.h"
+#include "gypsumhub/gateway/failure_guard.h"
 #include "gypsumhub/platform/registration_document.h"
 #include "gypsumhub/platform/wire_names.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace gypsumhub {
 
 target_watcher::target_watcher(store_access& access, listeners listeners)
@@ -19,7 +17,7 @@
 
 auto target_watcher::start() -> void
 {
-    asio::co_spawn(m_access.context().io.get_executor(), watch(), asio::detached);
+    spawnLoop(m_access.context(), "registration_watch", [this] { return watch(); });
 }
 
 auto target_watcher::handleReaderHello(const node_hello& hello) -> void
@@ -47,6 +45,7 @@
 
 auto target_watcher::watch() -> task<>
 {
+    m_revision = 0;
     auto known = co_await m_access.listAtStartup(std::string(wire_names::targetPrefix));
     if (known)
         applyListing(*known, view_source::Node);
