--- a/gypsumhub/decision/selection/shutdown_schedule.cpp
+++ b/gypsumhub/decision/selection/shutdown_schedule.cpp
@@ -19,13 +19,23 @@
 } // namespace
 
 shutdown_schedule::shutdown_schedule(time_point now, time_point killedAt)
-    : m_servesUntil(now + std::min(maxServingTime, (killedAt - now) / 2))
+    : m_beganAt(now)
+    , m_servesUntil(now + std::min(maxServingTime, (killedAt - now) / 2))
     , m_latestDeadline(killedAt - killMargin - answerMargin)
     , m_stopsReadingAt(killedAt - killMargin - readMargin)
     , m_endsAt(killedAt - killMargin)
 {
 }
 
+auto shutdown_schedule::bringForward(time_point now, time_point killedAt) -> void
+{
+    auto earlier = shutdown_schedule(m_beganAt, killedAt);
+    m_servesUntil = std::min(m_servesUntil, earlier.m_servesUntil);
+    m_latestDeadline = std::min(m_latestDeadline, earlier.m_latestDeadline);
+    m_stopsReadingAt = std::min(m_stopsReadingAt, earlier.m_stopsReadingAt);
+    m_endsAt = std::min(m_endsAt, std::max(earlier.m_endsAt, now + readMargin));
+}
+
 auto shutdown_schedule::accepts(time_point now, time_point deadline) const -> bool
 {
     return now < m_servesUntil || (now < m_stopsReadingAt && deadline <= m_latestDeadline);
--- a/gypsumhub/decision/selection/shutdown_schedule.h
+++ b/gypsumhub/decision/selection/shutdown_schedule.h
@@ -17,6 +17,11 @@
     shutdown_schedule(time_point now, time_point killedAt);
 
     auto hasBegun() const -> bool { return m_endsAt != never; }
+    /// When it began.
+    auto beganAt() const -> time_point { return m_beganAt; }
+    /// Brings the end forward for a process that is killed at `killedAt`. Never moves it back. What is open can still be answered, also
+    /// when the new end has passed.
+    auto bringForward(time_point now, time_point killedAt) -> void;
     /// Whether a request that is ready to be sent at `now` is served. `deadline` is when its caller or its route gives it up.
     auto accepts(time_point now, time_point deadline) const -> bool;
     /// The latest deadline that a target may be given: its answer at that deadline still reaches the caller.
@@ -27,6 +32,7 @@
     auto endsAt() const -> time_point { return m_endsAt; }
 
 private:
+    time_point m_beganAt { never };
     time_point m_servesUntil { never };
     time_point m_latestDeadline { never };
     time_point m_stopsReadingAt { never };
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -47,6 +47,7 @@
     , m_transferLimit(m_context.settings.size.linkMegabits)
     , m_callers(m_context.io.get_executor())
     , m_signals(m_context.io, SIGTERM, SIGINT, SIGHUP)
+    , m_stopTimer(m_context.io.get_executor())
 {
     m_context.broadcastOutcomes = [this](std::vector<peer_outcome> outcomes) { m_peers.send({ m_context.settings.name, std::move(outcomes) }, peersInRegion()); };
     m_context.onRequestLost = [this](std::shared_ptr<target_state> target, const request_identity& lost) { m_crashes.checkTarget(std::move(target), lost); };
@@ -263,25 +264,47 @@
     if (m_context.shutdown.hasBegun())
         return;
     auto now = bootClockNow();
+    // The settings file may have changed without a signal.
+    reload();
     m_context.shutdown = shutdown_schedule(now, now + m_context.settings.stopLimit);
-    m_context.log.write(log_class::Notable, "stopping", { { "open_requests", m_context.openRequests } });
-    // Waits and exchanges that began before the stop are bounded as those that begin after it.
+    m_context.log.write(log_class::Notable, "stopping", { { "open_requests", m_context.openRequests }, { "stop_limit_ms", m_context.settings.stopLimit.milliseconds() } });
+    limitOpenRequests();
+    sendHello();
+    m_watcher.unregister();
+    asio::co_spawn(m_context.io.get_executor(), finishShutdown(), asio::detached);
+}
+
+auto gateway_node::limitOpenRequests() -> void
+{
     for (auto& [service, dispatcher] : m_context.dispatchers)
         dispatcher->limitWaits(m_context.shutdown.latestDeadline());
     for (auto& attempt : m_context.attempts)
         attempt.connection->limitDeadline(m_context.shutdown.latestDeadline());
-    sendHello();
-    m_watcher.unregister();
-    auto finish = [this]() -> task<> {
-        auto timer = steady_timer(m_context.io.get_executor());
-        co_await sleepUntil(timer, m_context.shutdown.stopsReadingAt());
-        // Connections that are not accepted yet are reset: their requests count as not read.
-        auto ignored = error_code {};
-        m_callers.close(ignored);
-        co_await sleepUntil(timer, m_context.shutdown.endsAt());
-        m_context.io.stop();
-    };
-    asio::co_spawn(m_context.io.get_executor(), std::move(finish), asio::detached);
+}
+
+auto gateway_node::applyStopLimit(duration limit) -> void
+{
+    m_context.settings.stopLimit = limit;
+    auto& shutdown = m_context.shutdown;
+    if (!shutdown.hasBegun())
+        return;
+    shutdown.bringForward(bootClockNow(), shutdown.beganAt() + limit);
+    limitOpenRequests();
+    m_stopTimer.cancel();
+}
+
+auto gateway_node::finishShutdown() -> task<>
+{
+    auto& shutdown = m_context.shutdown;
+    // The schedule may be brought forward meanwhile.
+    while (bootClockNow() < shutdown.stopsReadingAt())
+        co_await sleepUntil(m_stopTimer, shutdown.stopsReadingAt());
+    // Connections that are not accepted yet are reset: their requests count as not read.
+    auto ignored = error_code {};
+    m_callers.close(ignored);
+    while (bootClockNow() < shutdown.endsAt())
+        co_await sleepUntil(m_stopTimer, shutdown.endsAt());
+    m_context.io.stop();
 }
 
 auto gateway_node::reload() -> void
@@ -293,7 +316,7 @@
             m_context.settings.directoryLifetime = read.directoryLifetime;
             m_context.settings.directoryNodes = read.directoryNodes;
             m_context.settings.directorySize = read.directorySize;
-            m_context.settings.stopLimit = read.stopLimit;
+            applyStopLimit(read.stopLimit);
             m_context.log.write(log_class::Notable, "reloaded", { { "file", m_settingsFile } });
             return {};
         },
--- a/gypsumhub/gateway/gateway_node.h
+++ b/gypsumhub/gateway/gateway_node.h
@@ -33,6 +33,12 @@
     auto processTick(time_point now) -> void;
     auto waitForSignal() -> void;
     auto beginShutdown() -> void;
+    /// Ends the process by the schedule.
+    auto finishShutdown() -> task<>;
+    /// Uses a stop limit that was read from the settings file. During a shutdown it can only bring the end forward.
+    auto applyStopLimit(duration) -> void;
+    /// Bounds the waits and exchanges that began before the schedule, or the last change of it, as those that begin after it.
+    auto limitOpenRequests() -> void;
     auto reload() -> void;
     auto checkStalls(time_point now) -> void;
     auto sendHello() -> void;
@@ -60,6 +66,7 @@
     transfer_limit m_transferLimit;
     tcp_acceptor m_callers;
     asio::signal_set m_signals;
+    steady_timer m_stopTimer;
     time_point m_nextHello {};
     time_point m_nextSweep {};
 };
--- a/unit_tests/decision/selection/shutdown_schedule_test.cpp
+++ b/unit_tests/decision/selection/shutdown_schedule_test.cpp
@@ -50,3 +50,22 @@
     CHECK(schedule.accepts(at(4'000), at(9'000)));
     CHECK_FALSE(schedule.accepts(at(5'000), at(10'000)));
 }
+
+TEST_CASE("a stop limit that is shortened during a shutdown brings its end forward, one that is lengthened changes nothing")
+{
+    auto schedule = shutdown_schedule(at(0), at(6'000));
+    schedule.bringForward(at(300), at(3'000));
+    auto shorter = shutdown_schedule(at(0), at(3'000));
+    CHECK((schedule.beganAt() == at(0)));
+    CHECK((schedule.endsAt() == shorter.endsAt()));
+    CHECK((schedule.latestDeadline() == shorter.latestDeadline()));
+    CHECK((schedule.stopsReadingAt() == shorter.stopsReadingAt()));
+    CHECK_FALSE(schedule.accepts(at(1'600), at(9'000)));
+    schedule.bringForward(at(600), at(6'000));
+    CHECK((schedule.endsAt() == shorter.endsAt()));
+    // An end that has passed leaves time to write the answers.
+    schedule.bringForward(at(1'000), at(900));
+    CHECK((schedule.endsAt() > at(1'000)));
+    CHECK((schedule.endsAt() < at(1'100)));
+    CHECK((schedule.latestDeadline() < at(1'000)));
+}
