--- a/gypsumhub/decision/selection/shutdown_schedule.h
+++ b/gypsumhub/decision/selection/shutdown_schedule.h
@@ -17,8 +17,6 @@
     shutdown_schedule(time_point now, time_point killedAt);
 
     auto hasBegun() const -> bool { return m_endsAt != never; }
-    /// When it began.
-    auto beganAt() const -> time_point { return m_beganAt; }
     /// Brings the end forward for a process that is killed at `killedAt`. Never moves it back. What is open can still be answered, also
     /// when the new end has passed.
     auto bringForward(time_point now, time_point killedAt) -> void;
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -109,7 +109,8 @@
         auto now = bootClockNow();
         callGuarded(m_context, "tick", [&] { processTick(now); });
         m_context.log.flush();
-        co_await sleepUntil(timer, now + (m_context.openRequests > 0 ? busyTick : idleTick));
+        m_nextTick = now + (m_context.openRequests > 0 ? busyTick : idleTick);
+        co_await sleepUntil(timer, m_nextTick);
     }
 }
 
@@ -266,8 +267,11 @@
     auto now = bootClockNow();
     // The settings file may have changed without a signal.
     reload();
+    // A node that was paused has not run since its tick was due, and the platform may have sent the signal then.
+    m_stopSignalledAt = std::min(now, m_nextTick);
     m_context.shutdown = shutdown_schedule(now, now + m_context.settings.stopLimit);
-    m_context.log.write(log_class::Notable, "stopping", { { "open_requests", m_context.openRequests }, { "stop_limit_ms", m_context.settings.stopLimit.milliseconds() } });
+    m_context.shutdown.bringForward(now, m_stopSignalledAt + m_context.settings.stopLimit);
+    m_context.log.write(log_class::Notable, "stopping", { { "open_requests", m_context.openRequests }, { "stop_limit_ms", m_context.settings.stopLimit.milliseconds() }, { "late_ms", (now - m_stopSignalledAt).milliseconds() } });
     limitOpenRequests();
     sendHello();
     m_watcher.unregister();
@@ -288,7 +292,7 @@
     auto& shutdown = m_context.shutdown;
     if (!shutdown.hasBegun())
         return;
-    shutdown.bringForward(bootClockNow(), shutdown.beganAt() + limit);
+    shutdown.bringForward(bootClockNow(), m_stopSignalledAt + limit);
     limitOpenRequests();
     m_stopTimer.cancel();
 }
--- a/gypsumhub/gateway/gateway_node.h
+++ b/gypsumhub/gateway/gateway_node.h
@@ -67,6 +67,9 @@
     tcp_acceptor m_callers;
     asio::signal_set m_signals;
     steady_timer m_stopTimer;
+    time_point m_nextTick { never };
+    /// The earliest time at which the signal to stop may have been sent.
+    time_point m_stopSignalledAt { never };
     time_point m_nextHello {};
     time_point m_nextSweep {};
 };
--- a/unit_tests/decision/selection/shutdown_schedule_test.cpp
+++ b/unit_tests/decision/selection/shutdown_schedule_test.cpp
@@ -56,7 +56,6 @@
     auto schedule = shutdown_schedule(at(0), at(6'000));
     schedule.bringForward(at(300), at(3'000));
     auto shorter = shutdown_schedule(at(0), at(3'000));
-    CHECK((schedule.beganAt() == at(0)));
     CHECK((schedule.endsAt() == shorter.endsAt()));
     CHECK((schedule.latestDeadline() == shorter.latestDeadline()));
     CHECK((schedule.stopsReadingAt() == shorter.stopsReadingAt()));
