--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -17,6 +17,7 @@
 #include "gypsumhub/gateway/node_datagram.h"
 #include "gypsumhub/gateway/service_dispatcher.h"
 #include "gypsumhub/gateway/target_connection_pool.h"
+#include "gypsumhub/gateway/unanswered_requests.h"
 
 #include <list>
 #include <map>
@@ -76,6 +77,8 @@
     gateway_settings settings;
     /// Before `io`, whose unfinished operations hold reservations.
     buffer_budget buffers;
+    /// Before `io`, whose unfinished operations hold handlers.
+    unanswered_requests unanswered;
     asio::io_context io { 1 };
     random_generator random;
     json_logger log;
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -23,6 +23,7 @@
     constexpr auto helloInterval = milliseconds(400);
     constexpr auto sweepInterval = milliseconds(1000);
     constexpr auto acceptPause = milliseconds(20);
+    constexpr auto lastWritesTime = milliseconds(10);
 
 } // namespace
 
@@ -77,7 +78,7 @@
     asio::co_spawn(m_context.io.get_executor(), acceptCallers(), asio::detached);
     asio::co_spawn(m_context.io.get_executor(), tick(), asio::detached);
     m_context.io.run();
-    m_context.log.write(log_class::Notable, "stopped", { { "node", settings.name }, { "open_requests", m_context.openRequests } });
+    m_context.log.write(log_class::Notable, "stopped", { { "node", settings.name }, { "open_requests", m_context.openRequests }, { "cut", m_context.unanswered.count() } });
     m_context.log.flush();
     return {};
 }
@@ -308,6 +309,9 @@
     m_callers.close(ignored);
     while (bootClockNow() < shutdown.endsAt())
         co_await sleepUntil(m_stopTimer, shutdown.endsAt());
+    // Answers that became ready at the same moment, as after a pause, are written first.
+    co_await sleepUntil(m_stopTimer, bootClockNow() + lastWritesTime);
+    m_context.unanswered.log(m_context.log);
     m_context.io.stop();
 }
 
--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -70,6 +70,7 @@
     } else
         reply = co_await serve();
     --m_context.openRequests;
+    m_hasAnswer = true;
     recordEnd(reply);
     co_return reply;
 }
--- a/gypsumhub/gateway/request_handler.h
+++ b/gypsumhub/gateway/request_handler.h
@@ -27,6 +27,9 @@
     auto isRetryable() const -> bool { return m_route && m_route->isRetryable; }
     /// Called when the caller has closed its connection. Ends the wait for a target and aborts an attempt that may be retried.
     auto handleCallerLeft() -> void;
+    auto hasCallerLeft() const -> bool { return m_callerLeft; }
+    /// The fields of the log line of a request that the end of the process cuts.
+    auto describe() const -> boost::json::object;
 
 private:
     enum class attempt_end : uint8_t {
@@ -90,6 +93,8 @@
     /// A target may have begun to run the request.
     bool m_mayHaveRun { false };
     bool m_callerLeft { false };
+    /// The answer is ready. It may not have been written completely.
+    bool m_hasAnswer { false };
     bool m_wantsRelay { false };
     /// No other node took the request.
     bool m_isRelayDenied { false };
@@ -103,6 +108,7 @@
     std::string m_relayedTo;
     std::string m_reason;
     request_log m_log;
+    unanswered_requests::registration m_unanswered { m_context.unanswered, *this };
 };
 
 } // namespace gypsumhub
