--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -268,8 +268,10 @@
     auto now = bootClockNow();
     // The settings file may have changed without a signal.
     reload();
-    // A node that was paused has not run since its tick was due, and the platform may have sent the signal then.
-    m_stopSignalledAt = std::min(now, m_nextTick);
+    // A node that was paused has not run since its tick was due, and the platform may have sent the signal then. It would have killed the
+    // node by now if that were longer ago than the limit.
+    auto earliest = std::min(now, m_nextTick);
+    m_stopSignalledAt = now < earliest + m_context.settings.stopLimit ? earliest : now;
     m_context.shutdown = shutdown_schedule(now, now + m_context.settings.stopLimit);
     m_context.shutdown.bringForward(now, m_stopSignalledAt + m_context.settings.stopLimit);
     m_context.log.write(log_class::Notable, "stopping", { { "open_requests", m_context.openRequests }, { "stop_limit_ms", m_context.settings.stopLimit.milliseconds() }, { "late_ms", (now - m_stopSignalledAt).milliseconds() } });
--- a/unit_tests/gateway/stop_pause_test.cpp
+++ b/unit_tests/gateway/stop_pause_test.cpp
@@ -61,3 +61,15 @@
     reader.join();
     CHECK(statuses == std::vector<unsigned> { 200, 200, 200, 200 });
 }
+
+TEST_CASE("a node that was paused for longer than its stop limit before its signal came answers what is open")
+{
+    auto fleet = gateway_fixture(milliseconds(1'500), 6);
+    auto caller = raw_caller(gateway_fixture::callerAddress(0));
+    caller.send(raw_request { .id = "open", .method = "POST", .path = "/unsafe/", .delayMs = 2'900 }.text());
+    REQUIRE(eventually([&] { return fleet.executionsOf("open") == 1; }));
+    fleet.pauseNode(0, std::chrono::milliseconds(2'400));
+    sleepFor(2'300);
+    fleet.nodes[0]->requestStop();
+    CHECK(caller.read().status == 200);
+}
