--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -63,26 +63,58 @@
 auto gateway_node::run() -> leaf::result<void>
 {
     std::signal(SIGPIPE, SIG_IGN);
-    auto& settings = m_context.settings;
-    BOOST_LEAF_CHECK(openListener(m_callers, settings.callerAddress));
-    BOOST_LEAF_CHECK(m_readiness.listen(settings.readinessAddress));
-    BOOST_LEAF_CHECK(m_directory.listen(settings.directoryAddress));
-    if (settings.metricsAddress.port != 0)
-        BOOST_LEAF_CHECK(m_metrics.listen(settings.metricsAddress));
-    BOOST_LEAF_CHECK(m_peers.open(settings.peerAddress));
-    BOOST_LEAF_CHECK(m_peerLists.listen(settings.peerAddress));
-    m_context.log.write(log_class::Notable, "started", { { "node", settings.name }, { "data_centre", settings.dataCentre } });
     waitForSignal();
     unblockReloadSignal();
-    m_watcher.start();
-    asio::co_spawn(m_context.io.get_executor(), acceptCallers(), asio::detached);
-    asio::co_spawn(m_context.io.get_executor(), tick(), asio::detached);
+    asio::co_spawn(m_context.io.get_executor(), start(), asio::detached);
     m_context.io.run();
-    m_context.log.write(log_class::Notable, "stopped", { { "node", settings.name }, { "open_requests", m_context.openRequests }, { "cut", m_context.unanswered.count() } });
+    if (m_startFault)
+        return failWith(*m_startFault);
+    m_context.log.write(log_class::Notable, "stopped", { { "node", m_context.settings.name }, { "open_requests", m_context.openRequests }, { "cut", m_context.unanswered.count() } });
     m_context.log.flush();
     return {};
 }
 
+auto gateway_node::start() -> task<>
+{
+    auto opener = address_opener(m_context);
+    auto steps = addressSteps();
+    for (auto& step : steps) {
+        auto fault = co_await opener.run(step);
+        m_startFault = std::move(fault);
+        if (m_startFault || m_context.shutdown.hasBegun()) {
+            m_context.io.stop();
+            co_return;
+        }
+    }
+    m_context.log.write(log_class::Notable, "started", { { "node", m_context.settings.name }, { "data_centre", m_context.settings.dataCentre } });
+    m_watcher.start();
+    asio::co_spawn(m_context.io.get_executor(), acceptCallers(), asio::detached);
+    asio::co_spawn(m_context.io.get_executor(), tick(), asio::detached);
+}
+
+auto gateway_node::addressSteps() -> std::vector<address_step>
+{
+    auto& settings = m_context.settings;
+    auto hasMetrics = settings.metricsAddress.port != 0;
+    auto steps = std::vector<address_step> {};
+    auto add = [&](std::string_view setting, const endpoint& address, std::function<error_code()> open) { steps.push_back({ setting, address, std::move(open) }); };
+    // All addresses are taken before connections are accepted at any of them, so that callers of a node that waits are refused.
+    add("caller_address", settings.callerAddress, [this] { return bindListener(m_callers, m_context.settings.callerAddress); });
+    add("readiness_address", settings.readinessAddress, [this] { return m_readiness.bind(m_context.settings.readinessAddress); });
+    add("directory_address", settings.directoryAddress, [this] { return m_directory.bind(m_context.settings.directoryAddress); });
+    if (hasMetrics)
+        add("metrics_address", settings.metricsAddress, [this] { return m_metrics.bind(m_context.settings.metricsAddress); });
+    add("peer_address", settings.peerAddress, [this] { return m_peerLists.bind(m_context.settings.peerAddress); });
+    add("peer_address", settings.peerAddress, [this] { return m_peers.open(m_context.settings.peerAddress); });
+    add("caller_address", settings.callerAddress, [this] { return startListening(m_callers); });
+    add("readiness_address", settings.readinessAddress, [this] { return m_readiness.listen(); });
+    add("directory_address", settings.directoryAddress, [this] { return m_directory.listen(); });
+    if (hasMetrics)
+        add("metrics_address", settings.metricsAddress, [this] { return m_metrics.listen(); });
+    add("peer_address", settings.peerAddress, [this] { return m_peerLists.listen(); });
+    return steps;
+}
+
 auto gateway_node::acceptCallers() -> task<>
 {
     auto timer = steady_timer(m_context.io.get_executor());
--- a/gypsumhub/gateway/gateway_node.h
+++ b/gypsumhub/gateway/gateway_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gypsumhub/decision/selection/transfer_limit.h"
+#include "gypsumhub/gateway/address_opener.h"
 #include "gypsumhub/gateway/crash_watcher.h"
 #include "gypsumhub/gateway/gateway_context.h"
 #include "gypsumhub/gateway/http_responder.h"
@@ -12,6 +13,8 @@
 #include "gypsumhub/platform/kv_client.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <optional>
+#include <vector>
 
 namespace gypsumhub {
 
@@ -28,6 +31,8 @@
     auto requestStop() -> void;
 
 private:
+    auto start() -> task<>;
+    auto addressSteps() -> std::vector<address_step>;
     auto acceptCallers() -> task<>;
     auto tick() -> task<>;
     auto processTick(time_point now) -> void;
@@ -70,6 +75,8 @@
     time_point m_nextTick { never };
     /// The earliest time at which the signal to stop may have been sent.
     time_point m_stopSignalledAt { never };
+    /// Why the start failed.
+    std::optional<fault> m_startFault;
     time_point m_nextHello {};
     time_point m_nextSweep {};
 };
--- a/gypsumhub/gateway/http_responder.cpp
+++ b/gypsumhub/gateway/http_responder.cpp
@@ -1,6 +1,5 @@
 #include "gypsumhub/gateway/http_responder.h"
 
-#include "gypsumhub/config/section_reader.h"
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/core/deadline_timer.h"
 #include "gypsumhub/store/http_reading.h"
@@ -22,7 +21,7 @@
 
 } // namespace
 
-auto openListener(tcp_acceptor& acceptor, const endpoint& address) -> leaf::result<void>
+auto bindListener(tcp_acceptor& acceptor, const endpoint& address) -> error_code
 {
     auto error = error_code {};
     auto number = asio::ip::make_address(address.address, error);
@@ -33,12 +32,17 @@
         acceptor.set_option(tcp_acceptor::reuse_address(true), error);
     if (!error)
         acceptor.bind(parsed, error);
-    if (!error)
-        acceptor.listen(listenBacklog, error);
+    auto ignored = error_code {};
     if (error)
-        return failWith({ result_code::AddressInUse, "cannot listen on " + formatEndpoint(address) + ": " + error.message(), {}, 0,
-            "choose an address of this machine and a free port" });
-    return {};
+        acceptor.close(ignored);
+    return error;
+}
+
+auto startListening(tcp_acceptor& acceptor) -> error_code
+{
+    auto error = error_code {};
+    acceptor.listen(listenBacklog, error);
+    return error;
 }
 
 http_responder::http_responder(asio::io_context& context, buffer_budget& budget, answer_function answer)
@@ -49,11 +53,17 @@
 {
 }
 
-auto http_responder::listen(const endpoint& address) -> leaf::result<void>
+auto http_responder::bind(const endpoint& address) -> error_code
 {
-    BOOST_LEAF_CHECK(openListener(m_acceptor, address));
-    asio::co_spawn(m_context.get_executor(), accept(), asio::detached);
-    return {};
+    return bindListener(m_acceptor, address);
+}
+
+auto http_responder::listen() -> error_code
+{
+    auto error = startListening(m_acceptor);
+    if (!error)
+        asio::co_spawn(m_context.get_executor(), accept(), asio::detached);
+    return error;
 }
 
 auto http_responder::accept() -> task<>
--- a/gypsumhub/gateway/http_responder.h
+++ b/gypsumhub/gateway/http_responder.h
@@ -2,7 +2,6 @@
 
 #include "gypsumhub/config/configuration.h"
 #include "gypsumhub/core/asio_types.h"
-#include "gypsumhub/core/fault.h"
 #include "gypsumhub/decision/selection/buffer_budget.h"
 
 #include <functional>
@@ -28,8 +27,10 @@
 
     http_responder(asio::io_context&, buffer_budget&, answer_function);
 
-    /// Listens on an address and starts serving. Fails with `AddressInUse`.
-    auto listen(const endpoint&) -> leaf::result<void>;
+    /// Takes an address; connections to it are still refused.
+    auto bind(const endpoint&) -> error_code;
+    /// Accepts connections at the address and starts serving.
+    auto listen() -> error_code;
 
 private:
     auto accept() -> task<>;
@@ -41,7 +42,9 @@
     tcp_acceptor m_acceptor;
 };
 
-/// Opens a listening socket. Fails with `AddressInUse`.
-auto openListener(tcp_acceptor&, const endpoint&) -> leaf::result<void>;
+/// Opens a socket at an address; connections to it are still refused. The acceptor stays closed on an error.
+auto bindListener(tcp_acceptor&, const endpoint&) -> error_code;
+/// Lets connections to a bound socket be accepted.
+auto startListening(tcp_acceptor&) -> error_code;
 
 } // namespace gypsumhub
--- a/gypsumhub/gateway/peer_channel.cpp
+++ b/gypsumhub/gateway/peer_channel.cpp
@@ -1,6 +1,5 @@
 #include "gypsumhub/gateway/peer_channel.h"
 
-#include "gypsumhub/config/section_reader.h"
 #include "gypsumhub/core/clock.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -18,7 +17,7 @@
 {
 }
 
-auto peer_channel::open(const endpoint& address) -> leaf::result<void>
+auto peer_channel::open(const endpoint& address) -> error_code
 {
     auto error = error_code {};
     auto number = asio::ip::make_address(address.address, error);
@@ -30,11 +29,12 @@
     // When the send queue is full the datagram is dropped instead of blocking the node.
     if (!error)
         m_socket.non_blocking(true, error);
+    auto ignored = error_code {};
     if (error)
-        return failWith({ result_code::AddressInUse, "cannot receive datagrams at " + formatEndpoint(address) + ": " + error.message(), {}, 0,
-            "choose an address of this machine and a free port for peer_address" });
-    asio::co_spawn(m_context.get_executor(), receive(), asio::detached);
-    return {};
+        m_socket.close(ignored);
+    else
+        asio::co_spawn(m_context.get_executor(), receive(), asio::detached);
+    return error;
 }
 
 auto peer_channel::send(const node_datagram& datagram, std::span<const node_registration> receivers) -> void
--- a/gypsumhub/gateway/peer_channel.h
+++ b/gypsumhub/gateway/peer_channel.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "gypsumhub/config/configuration.h"
 #include "gypsumhub/core/asio_types.h"
-#include "gypsumhub/core/fault.h"
 #include "gypsumhub/gateway/node_datagram.h"
 
 #include <array>
@@ -19,7 +19,8 @@
 
     peer_channel(asio::io_context&, listener);
 
-    auto open(const endpoint&) -> leaf::result<void>;
+    /// Receives datagrams at an address. The socket stays closed on an error.
+    auto open(const endpoint&) -> error_code;
     auto send(const node_datagram&, std::span<const node_registration> receivers) -> void;
 
 private:
