--- a/gypsumhub/main/commands.cpp
+++ b/gypsumhub/main/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "gypsumhub/config/gateway_settings_reader.h"
 #include "gypsumhub/config/node_settings_reader.h"
+#include "gypsumhub/core/clock.h"
 #include "gypsumhub/core/reload_signal.h"
 #include "gypsumhub/gateway/gateway_node.h"
 #include "gypsumhub/main/node.h"
@@ -12,10 +13,12 @@
 #include "gypsumhub/operator/request_trace.h"
 
 #include <charconv>
+#include <chrono>
 #include <cstdlib>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <malloc.h>
+#include <thread>
 
 DEFINE_string(node, "", "operator address of a running node, IP:PORT");
 DEFINE_string(store, "", "addresses of the store, IP:PORT, comma-separated");
@@ -31,6 +34,9 @@
     // The largest fleet, with one log file per node.
     constexpr auto maxLogFiles = size_t { 4096 };
     constexpr auto largeBufferBytes = 256 * 1024;
+    // While the settings file is being written it may be empty, cut or missing.
+    constexpr auto settingsWaitLimit = seconds(2);
+    constexpr auto settingsReadInterval = std::chrono::milliseconds(50);
 
     auto nodeFromFlag() -> leaf::result<endpoint>
     {
@@ -61,9 +67,21 @@
         return server.run();
     }
 
+    // Reads a file with a fault again for a while, since the platform may be writing it.
+    auto readSettingsAtStart(const std::string& file) -> leaf::result<gateway_settings>
+    {
+        auto until = bootClockNow() + settingsWaitLimit;
+        for (;;) {
+            auto settings = readGatewaySettings(file);
+            if (settings || bootClockNow() >= until)
+                return settings;
+            std::this_thread::sleep_for(settingsReadInterval);
+        }
+    }
+
     auto gateway(const command_arguments& arguments) -> leaf::result<void>
     {
-        BOOST_LEAF_AUTO(settings, readGatewaySettings(arguments.front()));
+        BOOST_LEAF_AUTO(settings, readSettingsAtStart(arguments.front()));
         // Large buffers return to the system when they are freed. Without a fixed threshold the allocator would keep up to 64 MB.
         ::mallopt(M_MMAP_THRESHOLD, largeBufferBytes);
         auto server = gateway_node(std::move(settings), arguments.front());
