--- a/gypsumhub/gateway/caller_connection.cpp
+++ b/gypsumhub/gateway/caller_connection.cpp
@@ -191,11 +191,14 @@
         case request_reader::progress::Failed:
             refuseBytes(m_reader->fault());
             break;
-        case request_reader::progress::Done:
-            addRequest(m_reader->release());
+        case request_reader::progress::Done: {
+            // A refusal is written within the call, so the reader must not count as unread bytes any more.
+            auto message = m_reader->release();
             m_reader.reset();
+            addRequest(std::move(message));
             break;
         }
+        }
     }
 }
 
--- a/unit_tests/gateway/shutdown_test.cpp
+++ b/unit_tests/gateway/shutdown_test.cpp
@@ -122,3 +122,23 @@
     CHECK(answers[1].isClosing);
     CHECK(fleet.executionsOf("behind") == 0);
 }
+
+TEST_CASE("a stopping node that refuses a request says that it closes the connection, and closes it")
+{
+    auto fleet = gateway_fixture(milliseconds(3'000)); // serves requests of any deadline for 1.5 s
+    auto isWithoutRoute = false;
+    SUBCASE("a request that the node can no longer serve in time") { isWithoutRoute = false; }
+    SUBCASE("a request without a route") { isWithoutRoute = true; }
+    CAPTURE(isWithoutRoute);
+    auto caller = raw_caller(gateway_fixture::callerAddress(0));
+    caller.send(raw_request { .id = "first" }.text());
+    REQUIRE(caller.read().status == 200);
+    fleet.nodes[0]->requestStop();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1'700));
+    caller.send(raw_request { .id = "late", .path = isWithoutRoute ? "/none/" : "/safe/" }.text());
+    auto refusal = caller.read();
+    CHECK(refusal.status == (isWithoutRoute ? 404 : 503));
+    CHECK(refusal.isClosing);
+    CHECK(caller.read().status == 0);
+    CHECK(caller.endedCleanly());
+}
