--- a/gypsumhub/gateway/caller_connection.cpp
+++ b/gypsumhub/gateway/caller_connection.cpp
@@ -1,13 +1,14 @@
 #include "gypsumhub/gateway/caller_connection.h"
 
 #include "gypsumhub/core/clock.h"
+#include "gypsumhub/core/socket_state.h"
 #include "gypsumhub/gateway/request_deadline.h"
+#include "gypsumhub/proxy/closing_connection.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
-#include <poll.h>
 #include <utility>
 
 namespace gypsumhub {
@@ -20,13 +21,12 @@
     constexpr auto spaceCheckInterval = milliseconds(100);
     // How often a stopping node that leaves bytes unread checks whether the last answer is written.
     constexpr auto holdCheckInterval = milliseconds(5);
+    // How often a stopping node checks whether its last answer has reached the caller.
+    constexpr auto deliveryCheckInterval = milliseconds(20);
     // In seconds. A large body takes about this long to pass through a node.
     constexpr auto memoryRetryAfter = std::string_view { "1" };
-    // A caller that does not read its answer within this time is considered gone.
-    constexpr auto writeTimeout = seconds(10);
-    // Limits of discarding what a caller sends behind the last answer.
-    constexpr auto lingerTimeout = milliseconds(300);
-    constexpr auto maxLingerBytes = size_t { 1024 * 1024 };
+    // Discarded behind the last answer, at least; enough for the rest of a body of the greatest size.
+    constexpr auto minDiscardedBytes = size_t { 1024 * 1024 };
 
     auto limitsOf(const gateway_context& context) -> caller_limits
     {
@@ -42,24 +42,25 @@
         return code == result_code::RequestTooSlow ? 408 : 400;
     }
 
-    auto isHeadRequest(const inbound_message& message) -> bool
-    {
-        return message.method() == http::verb::head;
-    }
-
 } // namespace
 
 caller_connection::caller_connection(gateway_context& context, tcp_socket socket)
     : m_context(context)
     , m_socket(std::move(socket))
     , m_readTimer(context.io.get_executor())
-    , m_writeTimer(context.io.get_executor())
+    , m_writer(m_socket)
     , m_spaceTimer(context.io.get_executor())
 {
     setNoDelay(m_socket);
     auto ignored = error_code {};
     m_socket.non_blocking(true, ignored);
     m_callerAddress = m_socket.remote_endpoint(ignored).address().to_string();
+    m_context.callers.add(*this);
+}
+
+caller_connection::~caller_connection()
+{
+    m_context.callers.remove(*this);
 }
 
 auto caller_connection::run() -> task<>
@@ -73,9 +74,19 @@
         releaseUnreadMemory();
         updateReadDeadline();
     }
+    if (m_intake == intake::Closing)
+        co_await finishClosing();
     handleCallerLeft();
 }
 
+auto caller_connection::end() -> bool
+{
+    auto isDelivered = !m_writer.isWriting() && unsentBytes(m_socket).value_or(0) == 0;
+    if (!isDelivered || m_intake == intake::Closing)
+        closeBehindAnswer(m_socket);
+    return isDelivered;
+}
+
 auto caller_connection::hasSpace() -> bool
 {
     auto isShort = m_buffer.size() < std::max<size_t>(minReadAheadBytes, limitsOf(m_context).headerBytes + m_received.size());
@@ -85,7 +96,7 @@
 auto caller_connection::receive() -> task<bool>
 {
     auto isOpen = co_await waitForSpace();
-    if (!isOpen)
+    if (!isOpen || m_intake == intake::Closing)
         co_return false;
     // A stopping node must answer what it has read, so it waits without reading and does not suspend between its decision to read and
     // the read.
@@ -97,13 +108,11 @@
         if (waitError)
             co_return false;
         co_await holdReading();
+        if (m_intake == intake::Closing)
+            co_return false;
         count = m_socket.read_some(asio::buffer(m_received), error);
     }
     m_receivedAt = bootClockNow();
-    if (m_intake == intake::Lingering) {
-        m_discardedBytes += count;
-        co_return m_discardedBytes <= maxLingerBytes;
-    }
     if (m_intake == intake::Requests)
         m_buffer.commit(asio::buffer_copy(m_buffer.prepare(count), asio::buffer(m_received.data(), count)));
     co_return true;
@@ -112,7 +121,7 @@
 auto caller_connection::waitForSpace() -> task<bool>
 {
     while (m_intake == intake::Requests && (m_waitsForMemory || !hasSpace())) {
-        if (!m_socket.is_open() || hasCallerClosed())
+        if (!m_socket.is_open() || hasPeerClosed(m_socket))
             co_return false;
         co_await sleepUntil(m_spaceTimer, bootClockNow() + spaceCheckInterval);
         if (m_waitsForMemory)
@@ -132,27 +141,21 @@
 
 auto caller_connection::holdReading() -> task<>
 {
-    // Once the last answer is written, bytes behind it are read again: to leave them would reset the connection and could destroy it.
-    while (m_intake != intake::Lingering && bootClockNow() >= m_context.shutdown.stopsReadingAt())
+    while (m_intake != intake::Closing && bootClockNow() >= m_context.shutdown.stopsReadingAt())
         co_await sleepUntil(m_spaceTimer, bootClockNow() + holdCheckInterval);
 }
 
 auto caller_connection::hasUnreadBytes() -> bool
 {
-    auto ignored = error_code {};
     auto isReading = bootClockNow() < m_context.shutdown.stopsReadingAt();
-    return m_buffer.size() > 0 || m_reader || (isReading && m_socket.available(ignored) > 0);
-}
-
-auto caller_connection::hasCallerClosed() -> bool
-{
-    auto polled = pollfd { m_socket.native_handle(), POLLRDHUP, 0 };
-    return ::poll(&polled, 1, 0) > 0 && (polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    return m_buffer.size() > 0 || m_reader || (isReading && unreadBytes(m_socket) > 0);
 }
 
 auto caller_connection::mayReadRequest() const -> bool
 {
-    return m_intake == intake::Requests && (m_buffer.size() > 0 || m_waitsForMemory) && m_pipeline.hasRoom();
+    // A caller that waits for "100 Continue" sends nothing until then.
+    auto isExpected = m_reader && m_reader->state() == request_reader::progress::ExpectsContinue && m_pipeline.isEmpty();
+    return m_intake == intake::Requests && (m_buffer.size() > 0 || m_waitsForMemory || isExpected) && m_pipeline.hasRoom();
 }
 
 auto caller_connection::reserveRequest() -> bool
@@ -206,6 +209,8 @@
 {
     constexpr auto proceed = std::string_view { "HTTP/1.1 100 Continue\r\n\r\n" };
     m_reader->resume();
+    // From now on the next bytes are up to the caller.
+    m_receivedAt = bootClockNow();
     auto wasWriting = std::exchange(m_isWriting, true);
     co_await asio::async_write(m_socket, asio::buffer(proceed), useTask);
     m_isWriting = wasWriting;
@@ -215,7 +220,7 @@
 
 auto caller_connection::addRequest(inbound_message message) -> void
 {
-    auto added = pipelined_request { .isHead = isHeadRequest(message), .keepOpen = message.keep_alive(), .bodyBytes = message.body().size() };
+    auto added = pipelined_request { .isHead = message.method() == http::verb::head, .keepOpen = message.keep_alive(), .bodyBytes = message.body().size() };
     added.handler = std::make_shared<request_handler>(m_context, std::move(message), m_callerAddress, m_receivedAt);
     added.memory = std::exchange(m_requestMemory, buffer_budget::reservation(m_context.buffers));
     added.mayOverlap = added.handler->isRetryable();
@@ -232,6 +237,7 @@
     ++m_context.counters.badRequests;
     m_context.log.write(log_class::Notable, "request_refused", { { "reason", describe(fault).name }, { "has_header", hasHeader } });
     m_intake = intake::Ignored;
+    m_hasRefusedBytes = true;
     m_waitsForMemory = false;
     m_reader.reset();
     m_requestMemory.resize(0);
@@ -263,9 +269,8 @@
         co_return;
     m_isWriting = true;
     while (auto next = m_pipeline.nextToWrite()) {
-        // A stopping node closes the connection when it has answered all that it has read.
-        auto isLastOfStop = m_context.shutdown.hasBegun() && m_pipeline.hasOne() && !hasUnreadBytes();
-        auto keepOpen = next->keepOpen && !isLastOfStop;
+        auto isStopping = m_context.shutdown.hasBegun();
+        auto keepOpen = !closesWith(*next);
         if (!keepOpen)
             m_intake = intake::Ignored;
         auto isWritten = co_await writeReply(*next, keepOpen);
@@ -275,10 +280,11 @@
             handleCallerLeft();
         } else if (!keepOpen) {
             m_pipeline.removeUnstarted();
-            beginLinger();
+            beginClosing();
         } else {
             startRequests();
             co_await readRequests();
+            m_closesWhenDelivered = isStopping && hasAnsweredAll();
         }
     }
     m_isWriting = false;
@@ -290,28 +296,42 @@
 
 auto caller_connection::writeReply(pipelined_request& answered, bool keepOpen) -> task<bool>
 {
-    auto& reply = *answered.reply;
-    reply.version(11);
-    reply.keep_alive(keepOpen);
-    auto status = reply.result_int();
-    auto hasNoBody = status == 204 || status == 304;
-    // The Content-Length of an answer to HEAD is that of the omitted body and must be kept.
-    if (!hasNoBody && !(answered.isHead && reply.has_content_length()))
-        reply.content_length(reply.body().size());
-    m_writeTimer.arm(bootClockNow() + writeTimeout, [this] { closeNow(m_socket); });
-    auto [error, written] = co_await http::async_write(m_socket, reply, useTask);
-    m_writeTimer.disarm();
-    co_return !error;
+    auto isWritten = co_await m_writer.write(*answered.reply, keepOpen, answered.isHead);
+    m_context.counters.undeliveredAnswers += m_writer.isGivenUp() ? 1 : 0;
+    co_return isWritten;
 }
 
-auto caller_connection::beginLinger() -> void
+auto caller_connection::closesWith(const pipelined_request& answered) -> bool
 {
-    m_intake = intake::Lingering;
-    m_lingerUntil = bootClockNow() + lingerTimeout;
+    // A stopping node closes the connection when it has answered all that it has read. A long answer takes time to write, so it does not
+    // announce the close: requests that arrive meanwhile are served.
+    auto isLastOfStop = m_context.shutdown.hasBegun() && m_pipeline.hasOne() && !hasUnreadBytes();
+    return !answered.keepOpen || (isLastOfStop && isSentAtOnce(answered.reply->body().size(), unsentBytes(m_socket)));
+}
+
+auto caller_connection::hasAnsweredAll() -> bool
+{
+    return m_intake == intake::Requests && m_pipeline.isEmpty() && !hasUnreadBytes();
+}
+
+auto caller_connection::beginClosing() -> void
+{
+    m_intake = intake::Closing;
     m_buffer.clear();
+    m_readTimer.disarm();
     auto ignored = error_code {};
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
-    updateReadDeadline();
+    // Ends the wait for bytes in `receive`.
+    m_socket.cancel(ignored);
+}
+
+auto caller_connection::finishClosing() -> task<>
+{
+    auto maxDiscardedBytes = std::max<size_t>(minDiscardedBytes, 2 * size_t { limitsOf(m_context).bodyBytes });
+    auto closing = closing_connection(m_socket, m_hasRefusedBytes, maxDiscardedBytes);
+    auto isDelivered = co_await closing.wait();
+    m_context.counters.undeliveredAnswers += isDelivered ? 0 : 1;
+    closeNow(m_socket);
 }
 
 auto caller_connection::isReadingRequest() const -> bool
@@ -324,12 +344,12 @@
 {
     auto limits = limitsOf(m_context);
     auto deadline = never;
-    if (m_intake == intake::Lingering)
-        deadline = m_lingerUntil;
+    if (m_intake == intake::Closing)
+        deadline = never;
     else if (isReadingRequest())
         deadline = m_reader->hasHeader() ? m_receivedAt + limits.idleLimit : m_requestBeganAt + limits.headerReadLimit;
     else if (m_pipeline.isEmpty())
-        deadline = bootClockNow() + limits.idleLimit;
+        deadline = bootClockNow() + (m_closesWhenDelivered ? deliveryCheckInterval : limits.idleLimit);
     if (deadline == never || !m_socket.is_open() || m_hasCallerLeft)
         m_readTimer.disarm();
     else
@@ -338,8 +358,13 @@
 
 auto caller_connection::handleReadTimeout() -> void
 {
+    auto isDelivered = unsentBytes(m_socket).value_or(0) == 0;
     if (isReadingRequest())
         refuseBytes(result_code::RequestTooSlow);
+    else if (!m_pipeline.isEmpty() || hasUnreadBytes() || (m_closesWhenDelivered && !isDelivered))
+        updateReadDeadline(); // A request has arrived at the same time, or the answer is still on its way.
+    else if (m_closesWhenDelivered || !isDelivered)
+        beginClosing();
     else
         closeNow(m_socket);
 }
--- a/gypsumhub/gateway/caller_connection.h
+++ b/gypsumhub/gateway/caller_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gypsumhub/gateway/reply_writer.h"
 #include "gypsumhub/gateway/request_pipeline.h"
 
 #include <array>
@@ -13,8 +14,14 @@
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
 public:
     caller_connection(gateway_context&, tcp_socket);
+    ~caller_connection();
+    caller_connection(const caller_connection&) = delete;
+    auto operator=(const caller_connection&) -> caller_connection& = delete;
 
     auto run() -> task<>;
+    /// Called as the process ends. Closes the connection if an answer is on its way. Returns false if the caller had not received
+    /// that answer.
+    auto end() -> bool;
 
 private:
     /// What becomes of the bytes that the caller sends.
@@ -22,9 +29,8 @@
         Requests,
         /// The last request was read or refused. Further bytes are ignored until its answer is written.
         Ignored,
-        /// The last answer is written. Further bytes are discarded until the caller closes, since closing a connection with unread
-        /// bytes resets it, and the reset can destroy the answer before the caller has read it.
-        Lingering,
+        /// The last answer is written, and the connection waits until it may be closed behind it.
+        Closing,
     };
 
     /// Receives bytes. Returns false when the connection has ended.
@@ -40,8 +46,6 @@
     auto releaseUnreadMemory() -> void;
     /// Reserves memory for the request that is being read. Returns false when it has to wait, or is refused since it can never fit.
     auto reserveRequest() -> bool;
-    /// Whether the caller has closed its side, even if unread bytes precede the close.
-    auto hasCallerClosed() -> bool;
     /// Parses the received bytes and starts the requests in them, as far as the pipeline has room.
     auto readRequests() -> task<>;
     auto mayReadRequest() const -> bool;
@@ -53,7 +57,13 @@
     /// Writes the answers that are ready and whose turn has come.
     auto writeReplies() -> task<>;
     auto writeReply(pipelined_request&, bool keepOpen) -> task<bool>;
-    auto beginLinger() -> void;
+    /// Whether the answer says that the connection is closed behind it.
+    auto closesWith(const pipelined_request&) -> bool;
+    /// Whether everything that has arrived is answered.
+    auto hasAnsweredAll() -> bool;
+    /// Ends the sending side behind the last answer; `run` then waits until the connection may be closed.
+    auto beginClosing() -> void;
+    auto finishClosing() -> task<>;
     /// Whether a request is partly read and the next bytes of it are up to the caller.
     auto isReadingRequest() const -> bool;
     /// Sets the deadline until which the caller must have sent its next bytes.
@@ -66,7 +76,7 @@
     /// The caller's IP address.
     std::string m_callerAddress;
     deadline_timer m_readTimer;
-    deadline_timer m_writeTimer;
+    reply_writer m_writer;
     steady_timer m_spaceTimer;
     std::array<char, 8 * 1024> m_received {};
     /// Received bytes that are not parsed yet.
@@ -76,15 +86,17 @@
     /// The request that is being read waits for memory until this time. Meanwhile nothing is received.
     time_point m_memoryWaitUntil {};
     bool m_waitsForMemory { false };
-    size_t m_discardedBytes { 0 };
     time_point m_receivedAt {};
     /// When reading of the current request began.
     time_point m_requestBeganAt {};
-    time_point m_lingerUntil {};
     /// Null between two requests.
     std::unique_ptr<request_reader> m_reader;
     request_pipeline m_pipeline;
     intake m_intake { intake::Requests };
+    /// The caller may still be sending the request that was refused.
+    bool m_hasRefusedBytes { false };
+    /// A stopping node has answered everything and closes the connection once the caller has received it, unless more arrives.
+    bool m_closesWhenDelivered { false };
     bool m_isWriting { false };
     bool m_hasCallerLeft { false };
 };
--- a/gypsumhub/gateway/gateway_context.h
+++ b/gypsumhub/gateway/gateway_context.h
@@ -12,6 +12,7 @@
 #include "gypsumhub/decision/selection/registration_view.h"
 #include "gypsumhub/decision/selection/shutdown_schedule.h"
 #include "gypsumhub/decision/selection/weighted_round_robin.h"
+#include "gypsumhub/gateway/caller_registry.h"
 #include "gypsumhub/gateway/gateway_counters.h"
 #include "gypsumhub/gateway/json_logger.h"
 #include "gypsumhub/gateway/node_datagram.h"
@@ -79,6 +80,8 @@
     buffer_budget buffers;
     /// Before `io`, whose unfinished operations hold handlers.
     unanswered_requests unanswered;
+    /// Before `io` as well: connections leave it when they are destroyed.
+    caller_registry callers;
     asio::io_context io { 1 };
     random_generator random;
     json_logger log;
--- a/gypsumhub/gateway/gateway_counters.cpp
+++ b/gypsumhub/gateway/gateway_counters.cpp
@@ -39,6 +39,7 @@
         { "late_registrations_total", "Registrations read from the store that seemed older than the known ones.", &gateway_counters::lateRegistrations },
         { "permit_requests_total", "Requests of this node for permits of targets with a limit.", &gateway_counters::permitRequests },
         { "permits_granted_total", "Permits that this node granted.", &gateway_counters::permitsGranted },
+        { "undelivered_answers_total", "Connections closed before their caller had received an answer whole.", &gateway_counters::undeliveredAnswers },
         { "permits_denied_total", "Permits that this node denied since the limit of the target was reached.", &gateway_counters::permitsDenied },
         { "internal_failures_total", "Exceptions that ended a connection, or that a loop of the node went on after.", &gateway_counters::internalFailures },
     });
--- a/gypsumhub/gateway/gateway_counters.h
+++ b/gypsumhub/gateway/gateway_counters.h
@@ -66,6 +66,8 @@
     uint64_t permitsGranted { 0 };
     uint64_t permitsDenied { 0 };
     uint64_t internalFailures { 0 };
+    /// Includes those of the end of the process, which are only logged.
+    uint64_t undeliveredAnswers { 0 };
     latency_histogram queueingDelay;
     latency_histogram responseTime;
     latency_histogram totalTime;
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -69,7 +69,7 @@
     m_context.io.run();
     if (m_startFault)
         return failWith(*m_startFault);
-    m_context.log.write(log_class::Notable, "stopped", { { "node", m_context.settings.name }, { "open_requests", m_context.openRequests }, { "cut", m_context.unanswered.count() } });
+    m_context.log.write(log_class::Notable, "stopped", { { "node", m_context.settings.name }, { "open_requests", m_context.openRequests }, { "cut", m_context.unanswered.count() }, { "undelivered_answers", m_context.counters.undeliveredAnswers } });
     m_context.log.flush();
     return {};
 }
@@ -346,6 +346,7 @@
     // Answers that became ready at the same moment, as after a pause, are written first.
     co_await sleepUntil(m_stopTimer, bootClockNow() + lastWritesTime);
     m_context.unanswered.log(m_context.log);
+    m_context.counters.undeliveredAnswers += m_context.callers.endAll();
     m_context.io.stop();
 }
 
