--- a/gypsumhub/proxy/caller_session.cpp
+++ b/gypsumhub/proxy/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "gypsumhub/proxy/caller_session.h"
 
 #include "gypsumhub/core/clock.h"
+#include "gypsumhub/proxy/closing_connection.h"
 #include "gypsumhub/proxy/message_fields.h"
 #include "gypsumhub/proxy/nodes_answer.h"
 #include "gypsumhub/proxy/peer_hop.h"
@@ -19,9 +20,8 @@
 
     constexpr auto headReadBytes = size_t { 4 * 1024 };
     constexpr auto bodyReadBytes = size_t { 64 * 1024 };
-    // Bytes and time for which a refused connection is drained before it is closed, so that the caller can read the refusal.
-    constexpr auto maxDrainBytes = size_t { 64 * 1024 };
-    constexpr auto drainLimit = seconds(1);
+    // Discarded behind the last answer, at least.
+    constexpr auto minDiscardedBytes = size_t { 1024 * 1024 };
 
     auto viewOf(const beast::flat_buffer& buffer) -> std::span<const char>
     {
@@ -69,6 +69,7 @@
     m_context.counters.countResult(result_code::TooManyConnections);
     auto refusal = makeRefusal(result_code::TooManyConnections, {});
     co_await writeAnswer(std::move(refusal), false);
+    m_hasRefusedBytes = true;
     co_await closeGracefully();
 }
 
@@ -82,7 +83,7 @@
             m_context.counters.countResult(received.fault);
             auto refusal = makeRefusal(received.fault, {});
             co_await writeAnswer(std::move(refusal), false);
-            co_await closeGracefully();
+            m_hasRefusedBytes = true;
             break;
         }
         if (!received.message)
@@ -93,6 +94,8 @@
         decrement(m_context.counters.requestsInFlight);
         setPhase(phase::Idle);
     }
+    if (m_closesBehindAnswer)
+        co_await closeGracefully();
 }
 
 auto caller_session::readRequest(buffer_reservation& reservation) -> task<read_outcome>
@@ -188,8 +191,10 @@
     }
     if (m_cancellation.cancelled())
         co_return false;
-    if (answer.streamed)
+    if (answer.streamed) {
+        m_closesBehindAnswer = !m_keepAlive;
         co_return m_keepAlive&& m_socket.is_open();
+    }
     auto keepAlive = m_keepAlive && !isLastBeforeStop();
     auto written = co_await writeAnswer(std::move(answer), keepAlive);
     co_return written;
@@ -235,23 +240,18 @@
     startTimeout(m_context.settings.requestReadLimit);
     auto [error, written] = co_await http::async_write(m_socket, answer.message, useTask);
     cancelTimeout();
+    m_closesBehindAnswer = !error && !keepAlive;
     co_return !error && keepAlive;
 }
 
 auto caller_session::closeGracefully() -> task<>
 {
-    // Closing a socket with unread bytes resets the connection, and the caller could lose the refusal.
-    auto ignored = error_code {};
-    m_socket.shutdown(tcp_socket::shutdown_send, ignored);
-    startTimeout(drainLimit);
-    for (auto drained = size_t { 0 }; drained < maxDrainBytes;) {
-        m_buffer.clear();
-        auto received = co_await receive(headReadBytes);
-        if (!received)
-            break;
-        drained += m_buffer.size();
-    }
+    setPhase(phase::Closing);
     cancelTimeout();
+    m_buffer.clear();
+    auto maxDiscardedBytes = std::max<size_t>(minDiscardedBytes, 2 * size_t { m_context.settings.maxBodyBytes });
+    auto closing = closing_connection(m_socket, m_hasRefusedBytes, maxDiscardedBytes);
+    co_await closing.wait();
     close();
 }
 
@@ -275,6 +275,8 @@
 auto caller_session::cancel() -> void
 {
     m_cancellation.cancel();
+    if (m_phase == phase::Closing)
+        closeBehindAnswer(m_socket);
     close();
 }
 
--- a/gypsumhub/proxy/caller_session.h
+++ b/gypsumhub/proxy/caller_session.h
@@ -38,11 +38,12 @@
     auto closeIfIdle() -> void;
 
 private:
-    // Whether the connection waits for the first byte of a request, receives a request, or handles one.
+    // Whether the connection waits for the first byte of a request, receives a request, handles one, or closes behind its last answer.
     enum class phase : uint8_t {
         Idle,
         Reading,
         Busy,
+        Closing,
     };
 
     // Result of reading a request. Without message and fault, the connection closed or timed out while idle.
@@ -60,6 +61,7 @@
     auto isLastBeforeStop() const -> bool;
     auto route(caller_request&) -> task<caller_answer>;
     auto writeAnswer(caller_answer, bool keepAlive) -> task<bool>;
+    /// Ends the connection behind its last answer once the caller has received it.
     auto closeGracefully() -> task<>;
     auto resetConnection() -> void;
     auto setPhase(phase) -> void;
@@ -88,6 +90,9 @@
     bool m_expired { false };
     bool m_watchesDisconnect { false };
     uint64_t m_watchGeneration { 0 };
+    // The last answer is written; and whether the caller may still be sending what it refused.
+    bool m_closesBehindAnswer { false };
+    bool m_hasRefusedBytes { false };
     request_cancellation m_cancellation;
     // State of the request in progress: its id, and how a streamed answer must be framed.
     std::string m_requestId;
