--- a/scripts/process_judge/parties.py
+++ b/scripts/process_judge/parties.py
@@ -162,10 +162,12 @@
 
     async def watch_end(self, life, process):
         code = await process.wait()
+        if self.is_over:
+            return
         life.ended_at, life.code = s.now(), code
         own = life.asked_at is None
         self.record.say(f"{self.name} ended{' by itself' if own else ''}: {code}, {s.now() - life.started_at:.3f} s after its start")
-        if own and not self.is_over:
+        if own:
             await asyncio.sleep(0.3)
             if not self.is_over and self.process is process:
                 await self.start()
