--- a/scripts/process_judge/caller.py
+++ b/scripts/process_judge/caller.py
@@ -82,12 +82,13 @@
         self.chooser = chooser
         self.depth = chooser.randint(1, 3)
         self.reads_late = chooser.random() < 0.4
-        self.bytes_per_s = chooser.choice((0, 0, 0, 120_000, 300_000))
+        self.bytes_per_s = chooser.choice((0, 0, 0, 60_000, 120_000, 300_000))
+        self.longest_pause_s = chooser.choice((0.02, 0.05, 0.2, 0.5))
 
     def manner(self):
         """How the caller reads, for reports."""
         slow = f", {self.bytes_per_s // 1000} kB/s" if self.bytes_per_s else ""
-        return f"depth {self.depth}, reads {'after' if self.reads_late else 'while'} writing{slow}"
+        return f"depth {self.depth}, reads {'after' if self.reads_late else 'while'} writing, pauses to {self.longest_pause_s:g} s{slow}"
 
     def work_ms(self):
         share = self.chooser.random()
@@ -195,7 +196,7 @@
                 self.record.write(f"{request.id}: sent to {self.node.name}")
                 for number, piece in enumerate(request.pieces):
                     if number:
-                        await asyncio.sleep(self.plan.chooser.uniform(0, 0.05))
+                        await asyncio.sleep(self.plan.chooser.uniform(0, self.plan.longest_pause_s))
                     await wire.send(piece)
                 request.sent_at = s.now()
                 request.pieces = []
@@ -215,7 +216,7 @@
             if fields.get("request-id", request.id) != request.id:
                 self.record.say(f"{request.id}: got an answer to {fields['request-id']}")
             await self.read_body(wire, request, fields)
-            request.is_complete, request.ended_at, request.end = True, s.now(), "answered"
+            request.is_complete, request.ended_at, request.end, request.is_behind_reset = True, s.now(), "answered", wire.is_reset
             self.record.write(f"{request.id}: answered {request.status}{' own' if request.is_own else ''}{' closing' if request.is_closing else ''}")
             if request.status == 503:
                 request.pause_s = min(float(fields.get("retry-after", "0.1")), 1.0)
--- a/scripts/process_judge/rules.py
+++ b/scripts/process_judge/rules.py
@@ -190,6 +190,12 @@
     return found
 
 
+def answers_behind_resets(history):
+    """Sighting: a target's whole answers that lay in the caller's kernel behind a reset; a caller that stops at a failed write has lost them."""
+    return [h.Finding("answer behind a reset", request.node, describe(history, request), request.id) for request in history.requests
+            if request.is_behind_reset and not request.is_own and not is_disturbed(history, request)]
+
+
 def refusals_that_keep(history):
     """Sighting: 503 of a stopping node without `Connection: close`."""
     found = []
@@ -225,7 +231,7 @@
              "LOST 1": lost_in_touch(history), "LOST 2 passed on": of("LOST 2 passed on"), "LOST 2 read": of("LOST 2 read"),
              "LOST 3": replaced_answers(history)}
     sightings = {"may have been read": of("may have been read"), "answer destroyed": destroyed_answers(history),
-                 "503 keeps connection": refusals_that_keep(history)}
+                 "answer behind a reset": answers_behind_resets(history), "503 keeps connection": refusals_that_keep(history)}
     return rules, sightings
 
 
--- a/scripts/process_judge/self_test.py
+++ b/scripts/process_judge/self_test.py
@@ -111,6 +111,11 @@
         ("replaced at the time limit", "LOST 3", 0, stopped(21.0, 24.0, 21.1, 24.0, deadline_s=3.0, **own_answer())),
         ("replaced without a SIGTERM", "LOST 3", 0, history([request("r", 21.0, 24.0, **own_answer())], {"r": at_work(21.1, 24.0)})),
         ("a finished answer was destroyed", "answer destroyed", 1, stopped(21.0, 24.0, 21.1, 23.0, run_end="answered")),
+        ("a whole answer behind a reset", "answer behind a reset", 1,
+         stopped(21.0, 24.0, 21.1, 23.0, run_end="answered", end="answered", status=200, is_complete=True, is_behind_reset=True)),
+        ("a refusal behind a reset", "answer behind a reset", 0, stopped(21.0, 24.0, is_behind_reset=True, **own_answer(503))),
+        ("a whole answer", "answer behind a reset", 0,
+         stopped(21.0, 24.0, 21.1, 23.0, run_end="answered", end="answered", status=200, is_complete=True)),
         ("a refusal that keeps the connection", "503 keeps connection", 1, history(
             [request("r", 23.0, 23.1, **own_answer(503))], lives=[h.Life(NODE, 0.0, 1.0, 20.0, "term", 25.5, 0)])),
         ("a refusal that closes it", "503 keeps connection", 0, history(
