--- a/scripts/process_judge/history.py
+++ b/scripts/process_judge/history.py
@@ -28,6 +28,7 @@
     `end` says how it ended: "answered", or how its connection ended without the whole answer: "in order" (no reset followed),
     "reset", "gave up" (the caller closed it) or "unsent". `status` is that of an answer whose head was read; `is_own` says that no
     target has signed it. `is_behind_reset`: the answer was read only after a write of the caller had failed.
+    `closing_seen_at`: when the head of an earlier answer of this connection that says `Connection: close` was read.
     """
 
     id: str
@@ -47,6 +48,7 @@
     manner: str = ""
     is_begun: bool = False
     is_behind_reset: bool = False
+    closing_seen_at: float | None = None
     pieces: list = dataclasses.field(default_factory=list, repr=False)
     pause_s: float = 0.0
 
