--- a/scripts/process_judge/caller.py
+++ b/scripts/process_judge/caller.py
@@ -30,7 +30,7 @@
         self.buffer = bytearray()
         self.total = 0
         self.is_reset = False
-        self.closing_seen_at = None
+        self.closing_at = None
 
     async def fill(self):
         loop = asyncio.get_running_loop()
@@ -178,7 +178,7 @@
         for request in open_requests:
             request.ended_at, request.end = at, end
             # The closing answer itself, if it is incomplete, is not behind one.
-            request.closing_seen_at = None if request.is_closing else wire.closing_seen_at
+            request.closing_at = None if request.is_closing else wire.closing_at
         asyncio.create_task(self.settle(wire, open_requests, end))
         return False
 
@@ -196,7 +196,7 @@
             for number, request in enumerate(batch):
                 if number and self.plan.chooser.random() < 0.5:
                     await asyncio.sleep(self.plan.chooser.uniform(0, self.plan.longest_pause_s))
-                if wire.closing_seen_at is not None:
+                if wire.closing_at is not None:
                     return
                 request.began_at, request.timeout_s, request.is_begun = s.now(), self.timeout_of(), True
                 self.history.requests.append(request)
@@ -221,7 +221,7 @@
             request.is_own = "upstream-signature" not in fields
             request.is_closing = fields.get("connection", "").lower() == "close"
             if request.is_closing:
-                wire.closing_seen_at = s.now()
+                wire.closing_at = self.written_at(request)
             if fields.get("request-id", request.id) != request.id:
                 self.record.say(f"{request.id}: got an answer to {fields['request-id']}")
             await self.read_body(wire, request, fields)
@@ -232,6 +232,14 @@
             if request.is_closing:
                 await self.drain(wire)
 
+    def written_at(self, request):
+        """The earliest moment at which the node can have written an answer whose head has just been read."""
+        answered = [run.ended_at for run in self.history.runs.get(request.id, []) if run.end == "answered"]
+        if answered:
+            return answered[-1]
+        is_prompt = not self.plan.reads_late and not self.plan.bytes_per_s
+        return s.now() if is_prompt else request.began_at
+
     async def drain(self, wire):
         """Reads until the node has closed the connection, as its last answer said; raises Ended."""
         until = s.now() + CLOSE_WAIT_S
--- a/scripts/process_judge/history.py
+++ b/scripts/process_judge/history.py
@@ -28,7 +28,7 @@
     `end` says how it ended: "answered", or how its connection ended without the whole answer: "in order" (no reset followed),
     "reset", "gave up" (the caller closed it) or "unsent". `status` is that of an answer whose head was read; `is_own` says that no
     target has signed it. `is_behind_reset`: the answer was read only after a write of the caller had failed.
-    `closing_seen_at`: when the head of an earlier answer of this connection that says `Connection: close` was read.
+    `closing_at`: the earliest moment at which the node can have written an earlier answer of this connection that says `Connection: close`.
     """
 
     id: str
@@ -48,7 +48,7 @@
     manner: str = ""
     is_begun: bool = False
     is_behind_reset: bool = False
-    closing_seen_at: float | None = None
+    closing_at: float | None = None
     pieces: list = dataclasses.field(default_factory=list, repr=False)
     pause_s: float = 0.0
 
