--- a/scripts/process_judge/caller.py
+++ b/scripts/process_judge/caller.py
@@ -1,6 +1,7 @@
 """A caller that uses a connection until it is closed, with up to three requests under way on it."""
 import asyncio
 import errno
+import select
 import socket
 
 import stand_ins as s
@@ -12,6 +13,7 @@
 GIVE_UP_AFTER_S = 2.0
 SLOW_RECEIVE_BYTES = 8192
 CONNECT_LIMIT_S = 1.0
+END_CHECK_S = 0.02
 
 
 class Ended(Exception):
@@ -31,6 +33,7 @@
         self.total = 0
         self.is_reset = False
         self.closing_at = None
+        self.has_ended = False
 
     async def fill(self):
         loop = asyncio.get_running_loop()
@@ -60,6 +63,21 @@
         del self.buffer[:size]
         return part
 
+    async def watch_end(self):
+        """Notes when the node's end of the connection has arrived, also while nobody reads."""
+        poll = select.poll()
+        poll.register(self.socket, select.POLLRDHUP)
+        while self.socket.fileno() >= 0:
+            if poll.poll(0):
+                self.note_closing(s.now())
+                self.has_ended = True
+                return
+            await asyncio.sleep(END_CHECK_S)
+
+    def note_closing(self, at):
+        """Keeps the first moment at which the node can have decided to close."""
+        self.closing_at = at if self.closing_at is None else min(self.closing_at, at)
+
     async def send(self, data):
         try:
             await asyncio.get_running_loop().sock_sendall(self.socket, data)
@@ -137,13 +155,15 @@
             await self.use(wire, until)
 
     async def use(self, wire, until):
+        watch = asyncio.create_task(wire.watch_end())
         position = 0
-        while s.now() < until:
+        while s.now() < until and not wire.has_ended:
             batch = [self.new_request(position + number + 1) for number in range(self.plan.depth)]
             position += len(batch)
             if not await self.exchange(wire, batch):
                 return
             await asyncio.sleep(max([0.01] + [request.pause_s for request in batch]))
+        watch.cancel()
         wire.socket.close()
 
     def new_request(self, position):
@@ -196,7 +216,7 @@
             for number, request in enumerate(batch):
                 if number and self.plan.chooser.random() < 0.5:
                     await asyncio.sleep(self.plan.chooser.uniform(0, self.plan.longest_pause_s))
-                if wire.closing_at is not None:
+                if wire.closing_at is not None and not self.plan.reads_late:
                     return
                 request.began_at, request.timeout_s, request.is_begun = s.now(), self.timeout_of(), True
                 self.history.requests.append(request)
@@ -221,7 +241,7 @@
             request.is_own = "upstream-signature" not in fields
             request.is_closing = fields.get("connection", "").lower() == "close"
             if request.is_closing:
-                wire.closing_at = self.written_at(request)
+                wire.note_closing(self.written_at(request))
             if fields.get("request-id", request.id) != request.id:
                 self.record.say(f"{request.id}: got an answer to {fields['request-id']}")
             await self.read_body(wire, request, fields)
--- a/scripts/process_judge/history.py
+++ b/scripts/process_judge/history.py
@@ -28,7 +28,8 @@
     `end` says how it ended: "answered", or how its connection ended without the whole answer: "in order" (no reset followed),
     "reset", "gave up" (the caller closed it) or "unsent". `status` is that of an answer whose head was read; `is_own` says that no
     target has signed it. `is_behind_reset`: the answer was read only after a write of the caller had failed.
-    `closing_at`: the earliest moment at which the node can have written an earlier answer of this connection that says `Connection: close`.
+    `closing_at`: the first of the end's arrival and the moment from which the node can have written an earlier answer of this connection that
+    says `Connection: close`.
     """
 
     id: str
--- a/scripts/process_judge/rules.py
+++ b/scripts/process_judge/rules.py
@@ -110,8 +110,8 @@
     """LOST 2: requests that a node has read and left without a whole answer around SIGTERM, SIGHUP and configurations.
 
     Returns findings of four lines: passed on; not passed on on a connection that ended in order, so that the node had read all of
-    its bytes; the same, but sent whole less than loss_slack_s before the node can have written a closing answer, or after that; not passed
-    on and ended by a reset, so that it may have been read. The last two are sightings only.
+    its bytes; the same, but sent whole less than loss_slack_s before the end arrived or a closing answer can have been written, or after that;
+    not passed on and ended by a reset, so that it may have been read. The last two are sightings only.
     """
     found, others = [], []
     for request in history.requests:
