--- a/scripts/process_judge/parties.py
+++ b/scripts/process_judge/parties.py
@@ -123,12 +123,17 @@
     def __init__(self, record, folder, index, store, zones, zone, history, program):
         super().__init__(record, folder, index, store, zones, zone)
         self.history, self.program = history, program
-        taken = [port for port in self.values["port_range"]] + [int(address.split(":")[1]) for address in self.listen.values()]
-        if len(set(taken)) < len(taken):
-            raise s.CannotRun(f"{self.name} was given a port twice")
+        while self.has_port_twice():
+            self.listen.update({name: f"{self.ip}:{s.free_port(self.ip)}" for name in self.listen})
+            self.values["port_range"] = [s.free_port(self.ip), s.free_port(self.ip)]
         self.life = None
         self.is_being_ended = False
 
+    def has_port_twice(self):
+        """Whether two of the ports that were drawn are the same, with which no node could start."""
+        ports = self.values["port_range"] + [int(address.split(":")[1]) for address in self.listen.values()]
+        return len(set(ports)) < len(ports)
+
     async def start(self):
         if not self.values["platform"]["address"]:
             self.values["platform"]["address"] = await self.store.address_for(self.name)
