--- a/scripts/process_judge/rules.py
+++ b/scripts/process_judge/rules.py
@@ -223,8 +223,9 @@
     when = lambda at: "never" if at is None else f"{at - zero:+.3f}"
     runs = ", ".join(f"{run.target} {when(run.at)} {run.end or 'at work'} {when(run.ended_at)}" for run in history.runs.get(request.id, []))
     answer = f"status {request.status}{' own' if request.is_own else ''}, {request.received} bytes" if request.status else "no answer"
+    closing = f"closed from {when(request.closing_at)} on, " if request.closing_at is not None else ""
     return (f"{request.id} position {request.position} ({request.manner}), seconds after {name} at {zero:.3f}: began {when(request.began_at)}, "
-            f"sent whole {when(request.sent_at)}, ended {when(request.ended_at)} by {request.end}; {answer}; "
+            f"sent whole {when(request.sent_at)}, {closing}ended {when(request.ended_at)} by {request.end}; {answer}; "
             f"limit {when(request.limit_at())}; targets: {runs or 'none'}")
 
 
