--- a/scripts/process_judge/caller.py
+++ b/scripts/process_judge/caller.py
@@ -14,6 +14,9 @@
 SLOW_RECEIVE_BYTES = 8192
 CONNECT_LIMIT_S = 1.0
 END_CHECK_S = 0.02
+# What a socket takes in surely though nobody reads.
+WINDOW_BYTES = 32_000
+UNKNOWN_BYTES = 1_000_000
 
 
 class Ended(Exception):
@@ -34,6 +37,7 @@
         self.is_reset = False
         self.closing_at = None
         self.has_ended = False
+        self.saw_closing = False
 
     async def fill(self):
         loop = asyncio.get_running_loop()
@@ -216,7 +220,7 @@
             for number, request in enumerate(batch):
                 if number and self.plan.chooser.random() < 0.5:
                     await asyncio.sleep(self.plan.chooser.uniform(0, self.plan.longest_pause_s))
-                if wire.closing_at is not None and not self.plan.reads_late:
+                if wire.saw_closing or (wire.has_ended and not self.plan.reads_late):
                     return
                 request.began_at, request.timeout_s, request.is_begun = s.now(), self.timeout_of(), True
                 self.history.requests.append(request)
@@ -241,7 +245,9 @@
             request.is_own = "upstream-signature" not in fields
             request.is_closing = fields.get("connection", "").lower() == "close"
             if request.is_closing:
-                wire.note_closing(self.written_at(request))
+                wire.saw_closing = True
+                if not self.sees_end_at_once(batch, int(fields.get("content-length", UNKNOWN_BYTES))):
+                    wire.note_closing(self.written_at(request))
             if fields.get("request-id", request.id) != request.id:
                 self.record.say(f"{request.id}: got an answer to {fields['request-id']}")
             await self.read_body(wire, request, fields)
@@ -257,8 +263,13 @@
         answered = [run.ended_at for run in self.history.runs.get(request.id, []) if run.end == "answered"]
         if answered:
             return answered[-1]
-        is_prompt = not self.plan.reads_late and not self.plan.bytes_per_s
-        return s.now() if is_prompt else request.began_at
+        return request.began_at
+
+    def sees_end_at_once(self, batch, more):
+        """Whether the end arrives when the node sends it: no bytes wait ahead of it that the window has no room for."""
+        if self.plan.bytes_per_s:
+            return False
+        return not self.plan.reads_late or sum(request.received for request in batch) + more <= WINDOW_BYTES
 
     async def drain(self, wire):
         """Reads until the node has closed the connection, as its last answer said; raises Ended."""
