--- a/gypsumhub/gateway/gateway_counters.h
+++ b/gypsumhub/gateway/gateway_counters.h
@@ -30,6 +30,8 @@
 /// Counters of a node since its start.
 struct gateway_counters {
     uint64_t requests { 0 };
+    /// How long the start took until the node was ready.
+    duration startTime {};
     uint64_t pipelined { 0 };
     uint64_t answered { 0 };
     uint64_t targetFailures { 0 };
--- a/gypsumhub/gateway/gateway_metrics.cpp
+++ b/gypsumhub/gateway/gateway_metrics.cpp
@@ -53,6 +53,7 @@
     for (auto& [prefix, count] : context.counters.peerListings)
         metrics.addCounter("peer_listings_total", "Listings requested from other nodes.", static_cast<double>(count), { { "prefix", prefix } });
     metrics.addCounter("log_lines_dropped_total", "Log lines dropped by the rate limit, by sampling or because the reader was too slow.", static_cast<double>(context.log.dropped()));
+    metrics.addGauge("start_seconds", "From the start of the node until it was ready; 0 before.", context.counters.startTime.seconds());
     metrics.addGauge("configuration_version", "Version of the configuration in force.", context.routes ? static_cast<double>(context.routes->version()) : 0);
     metrics.addGauge("registrations_age_seconds", "Time since the registrations were last known to match the store.", (bootClockNow() - context.viewConfirmedAt).seconds());
     for (auto& [service, monitor] : context.paths)
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -30,12 +30,15 @@
 gateway_node::gateway_node(gateway_settings settings, std::string settingsFile)
     : m_settingsFile(std::move(settingsFile))
     , m_context(std::move(settings))
+    , m_startReport(m_context)
     , m_store(m_context.io, m_context.settings.storeAddress, m_context.buffers)
     , m_watcher(m_context, m_store, { [this](std::span<const view_change> changes) {
         for (auto first = size_t { 0 }; first < changes.size(); first += maxDatagramEntries) {
             auto part = changes.subspan(first, std::min(maxDatagramEntries, changes.size() - first));
             m_peers.send({ m_context.settings.name, std::vector<view_change>(part.begin(), part.end()) }, m_context.memberView.recipients(bootClockNow()));
-        } }, [this] { sendHello(); } })
+        } }, [this] {
+            m_startReport.update(bootClockNow());
+            sendHello(); } })
     , m_peers(m_context.io, [this](std::optional<node_datagram> datagram, std::string_view address) { handleDatagram(std::move(datagram), address); })
     , m_crashes(m_context, [this](const node_datagram& datagram, std::span<const node_registration> receivers) { m_peers.send(datagram, receivers); })
     , m_limits(m_context, [this](const node_datagram& datagram, std::span<const node_registration> receivers) { m_peers.send(datagram, receivers); })
@@ -87,6 +90,7 @@
         }
     }
     m_context.log.write(log_class::Notable, "started", { { "node", m_context.settings.name }, { "data_centre", m_context.settings.dataCentre } });
+    m_startReport.recordAddresses(bootClockNow());
     m_watcher.start();
     asio::co_spawn(m_context.io.get_executor(), acceptCallers(), asio::detached);
     asio::co_spawn(m_context.io.get_executor(), tick(), asio::detached);
@@ -153,6 +157,7 @@
     for (auto& [service, dispatcher] : m_context.dispatchers)
         dispatcher->dispatchWaiting();
     m_watcher.tick();
+    m_startReport.update(now);
     m_crashes.tick(now);
     m_limits.tick(now);
     m_leaving.tick(now);
--- a/gypsumhub/gateway/gateway_node.h
+++ b/gypsumhub/gateway/gateway_node.h
@@ -9,6 +9,7 @@
 #include "gypsumhub/gateway/limit_watcher.h"
 #include "gypsumhub/gateway/path_prober.h"
 #include "gypsumhub/gateway/peer_channel.h"
+#include "gypsumhub/gateway/start_report.h"
 #include "gypsumhub/gateway/store_watcher.h"
 #include "gypsumhub/platform/kv_client.h"
 
@@ -57,6 +58,7 @@
 
     std::string m_settingsFile;
     gateway_context m_context;
+    start_report m_startReport;
     kv_client m_store;
     store_watcher m_watcher;
     peer_channel m_peers;
