LOST: a field that the HTTP library cannot hold is refused and takes no other answer of its connection with it

Callers saw, in tests: the library throws length_error on a field of more than 65,533 bytes. The exception ended the coroutine that read the connection, without a word: the connection was closed without an answer (a head of 66,005 bytes in one field, where the operator allows 128 KB), or, if it came while an answer was written, the writing ended and the answers to earlier requests that had run were never written: 2 of 18 answers (head), 1 of 17 (a trailer of 66,000 bytes behind 16 open requests, with the usual limit of 16 KB), then nothing until the test was ended after 25 s. Cause: http_feed and request_reader expected errors by value only.

--- a/gypsumhub/core/http_feed.h
+++ b/gypsumhub/core/http_feed.h
@@ -3,6 +3,7 @@
 #include "gypsumhub/core/asio_types.h"
 
 #include <cstddef>
+#include <stdexcept>
 
 namespace gypsumhub {
 
@@ -13,7 +14,8 @@
     static constexpr auto maxUnreadBytes = size_t { 16 * 1024 };
 
     /// Passes bytes to the parser and returns how many it has read; the rest must be passed again with the bytes that follow. Sets
-    /// `http::error::need_more` when the message is not complete, and `http::error::buffer_overflow` when a part of it is too long.
+    /// `http::error::need_more` when the message is not complete, `http::error::buffer_overflow` when a part of it is too long, and
+    /// `http::error::header_limit` when one field is.
     template <bool isRequest>
     auto put(http::basic_parser<isRequest>& parser, asio::const_buffer bytes, error_code& error) -> size_t
     {
@@ -24,7 +26,7 @@
             return read;
         }
         while (read < bytes.size() && !parser.is_done() && !error)
-            read += parser.put(bytes + read, error);
+            read += putPart(parser, bytes + read, error);
         m_minBytes = error == http::error::need_more && parser.is_header_done() && parser.chunked() ? minLastChunkBytes : 0;
         if (!error && !parser.is_done())
             error = http::error::need_more;
@@ -37,6 +39,18 @@
     // "0", CR LF, CR LF. Nothing shorter can follow between two chunks.
     static constexpr auto minLastChunkBytes = size_t { 5 };
 
+    template <bool isRequest>
+    static auto putPart(http::basic_parser<isRequest>& parser, asio::const_buffer bytes, error_code& error) -> size_t
+    {
+        try {
+            return parser.put(bytes, error);
+        } catch (const std::length_error&) {
+            // The parser throws on a field of more than 65,533 bytes.
+            error = http::error::header_limit;
+            return 0;
+        }
+    }
+
     /// Bytes without which the parser is not called: having read the header of the last chunk, it ends the process when fewer bytes
     /// than those of the whole last chunk follow.
     size_t m_minBytes { 0 };
--- a/gypsumhub/proxy/request_reader.cpp
+++ b/gypsumhub/proxy/request_reader.cpp
@@ -64,7 +64,7 @@
         return 0;
 
     auto error = error_code {};
-    auto consumed = m_parser.put(asio::buffer(view.data(), headSize), error);
+    auto consumed = m_feed.put(m_parser, asio::buffer(view.data(), headSize), error);
     if (error == http::error::need_more)
         error = {};
     // Maps the parser's errors, so that conflicting lengths are always refused as `AmbiguousFraming`.
