--- a/gypsumhub/gateway/caller_connection.cpp
+++ b/gypsumhub/gateway/caller_connection.cpp
@@ -25,8 +25,6 @@
     constexpr auto deliveryCheckInterval = milliseconds(20);
     // In seconds. A large body takes about this long to pass through a node.
     constexpr auto memoryRetryAfter = std::string_view { "1" };
-    // Discarded behind the last answer, at least; enough for the rest of a body of the greatest size.
-    constexpr auto minDiscardedBytes = size_t { 1024 * 1024 };
 
     auto limitsOf(const gateway_context& context) -> caller_limits
     {
@@ -327,8 +325,7 @@
 
 auto caller_connection::finishClosing() -> task<>
 {
-    auto maxDiscardedBytes = std::max<size_t>(minDiscardedBytes, 2 * size_t { limitsOf(m_context).bodyBytes });
-    auto closing = closing_connection(m_socket, m_hasRefusedBytes, maxDiscardedBytes);
+    auto closing = closing_connection(m_socket, m_hasRefusedBytes, limitsOf(m_context).bodyBytes);
     auto isDelivered = co_await closing.wait();
     m_context.counters.undeliveredAnswers += isDelivered ? 0 : 1;
     closeNow(m_socket);
--- a/gypsumhub/proxy/caller_session.cpp
+++ b/gypsumhub/proxy/caller_session.cpp
@@ -20,8 +20,6 @@
 
     constexpr auto headReadBytes = size_t { 4 * 1024 };
     constexpr auto bodyReadBytes = size_t { 64 * 1024 };
-    // Discarded behind the last answer, at least.
-    constexpr auto minDiscardedBytes = size_t { 1024 * 1024 };
 
     auto viewOf(const beast::flat_buffer& buffer) -> std::span<const char>
     {
@@ -249,8 +247,7 @@
     setPhase(phase::Closing);
     cancelTimeout();
     m_buffer.clear();
-    auto maxDiscardedBytes = std::max<size_t>(minDiscardedBytes, 2 * size_t { m_context.settings.maxBodyBytes });
-    auto closing = closing_connection(m_socket, m_hasRefusedBytes, maxDiscardedBytes);
+    auto closing = closing_connection(m_socket, m_hasRefusedBytes, m_context.settings.maxBodyBytes);
     co_await closing.wait();
     close();
 }
--- a/gypsumhub/proxy/closing_connection.cpp
+++ b/gypsumhub/proxy/closing_connection.cpp
@@ -4,19 +4,23 @@
 #include "gypsumhub/core/deadline_timer.h"
 #include "gypsumhub/core/socket_state.h"
 
+#include <algorithm>
+
 namespace gypsumhub {
 
 namespace {
 
     constexpr auto checkInterval = milliseconds(20);
+    // Discarded in total, at least; enough for the rest of a body of the greatest size.
+    constexpr auto minDiscardedBytes = size_t { 1024 * 1024 };
     // Read at once, so that one caller does not hold up the others.
     constexpr auto maxBytesOfCheck = size_t { 256 * 1024 };
 
 } // namespace
 
-closing_connection::closing_connection(tcp_socket& socket, bool isRefusal, size_t maxDiscardedBytes)
+closing_connection::closing_connection(tcp_socket& socket, bool isRefusal, size_t maxBodyBytes)
     : m_socket(socket)
-    , m_wait(bootClockNow(), isRefusal, maxDiscardedBytes)
+    , m_wait(bootClockNow(), isRefusal, std::max(minDiscardedBytes, 2 * maxBodyBytes))
 {
     auto ignored = error_code {};
     m_socket.shutdown(tcp_socket::shutdown_send, ignored);
--- a/gypsumhub/proxy/closing_connection.h
+++ b/gypsumhub/proxy/closing_connection.h
@@ -9,8 +9,9 @@
 /// and has stopped sending.
 class closing_connection {
 public:
-    /// Shuts down the sending side. The socket must outlive this object.
-    closing_connection(tcp_socket&, bool isRefusal, size_t maxDiscardedBytes);
+    /// Shuts down the sending side. `isRefusal` tells that the answer refused bytes of a request that the caller may still be sending,
+    /// `maxBodyBytes` is the greatest size of a body. The socket must outlive this object.
+    closing_connection(tcp_socket&, bool isRefusal, size_t maxBodyBytes);
 
     /// Completes when the socket may be closed, or was closed meanwhile. Returns whether the caller has received everything, as far
     /// as is known.
