--- a/gypsumhub/gateway/configuration_watcher.cpp
+++ b/gypsumhub/gateway/configuration_watcher.cpp
@@ -33,13 +33,19 @@
 
 auto configuration_watcher::handleHello(const node_hello& hello) -> void
 {
-    auto& routes = m_access.context().routes;
-    if (!routes || hello.configurationVersion <= routes->version() || m_isCatchingUp)
+    // A node that starts first lists all other nodes itself.
+    if (m_isStarting || hello.configurationVersion <= versionInForce() || m_isCatchingUp)
         return;
     m_isCatchingUp = true;
     spawnGuarded(m_access.context(), "configuration_catch_up", catchUp(hello.name, hello.configurationVersion), [this] { m_isCatchingUp = false; });
 }
 
+auto configuration_watcher::versionInForce() const -> uint64_t
+{
+    auto& routes = m_access.context().routes;
+    return routes ? routes->version() : 0;
+}
+
 auto configuration_watcher::list() const -> std::optional<key_listing>
 {
     if (m_entry.key.empty())
@@ -60,6 +66,7 @@
 {
     auto key = std::string(wire_names::configurationKey);
     auto known = co_await m_access.listAtStartup(key);
+    m_isStarting = false;
     if (known)
         applyListing(*known);
     for (auto revision = uint64_t { 0 };;) {
@@ -92,7 +99,7 @@
     auto& context = m_access.context();
     auto storeFallbackAt = bootClockNow() + storeFallbackDelay;
     auto unreachable = std::vector<std::string> {};
-    while (context.routes->version() < version) {
+    while (versionInForce() < version) {
         auto now = bootClockNow();
         auto sources = context.memberView.configurationHolders(version, now);
         if (sources.empty())
@@ -128,7 +135,7 @@
 {
     if (entry.key != wire_names::configurationKey)
         return;
-    auto known = m_access.context().routes ? m_access.context().routes->version() : 0;
+    auto known = versionInForce();
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(table, readConfigurationDocument(entry.value));
--- a/gypsumhub/gateway/configuration_watcher.h
+++ b/gypsumhub/gateway/configuration_watcher.h
@@ -26,12 +26,15 @@
     /// Lists a configuration of at least `version` from nodes that have it, `informant` among them, or from the store when none of them
     /// delivers it in time.
     auto catchUp(std::string informant, uint64_t version) -> task<>;
+    /// Zero while there is none.
+    auto versionInForce() const -> uint64_t;
     auto applyEntry(const store_entry&) -> void;
     auto applyListing(const key_listing&) -> void;
 
     store_access& m_access;
     std::function<void()> m_onProgress;
     store_entry m_entry;
+    bool m_isStarting { true };
     bool m_isCatchingUp { false };
 };
 
