--- a/gypsumhub/gateway/request_handler.cpp
+++ b/gypsumhub/gateway/request_handler.cpp
@@ -239,7 +239,7 @@
     auto request = outbound_request { std::move(head), body(), m_id, m_request.method() == http::verb::head };
     ++m_sent;
     m_connection = connection;
-    auto active = m_context.attempts.insert(m_context.attempts.end(), { used, now, false, connection, [this] { handleStall(); } });
+    auto active = m_context.attempts.insert(m_context.attempts.end(), { used, now, false, connection, [this, &target] { handleStall(target); } });
     auto result = co_await connection->exchange(request, targetDeadline());
     auto hadStalled = active->isStalled;
     m_context.attempts.erase(active);
@@ -318,12 +318,12 @@
     return attempt_end::Final;
 }
 
-auto request_handler::handleStall() -> void
+auto request_handler::handleStall(const target_state& stalled) -> void
 {
-    // Another target can still run the request in time. The closed connection signals the cancellation to the stalled target.
+    // Another target must be able to run the request in time. The closed connection signals the cancellation to the stalled target.
     auto expectedTime = placement_request::expectedTime(m_context.balancer.model(m_dispatcher->service()).meanResponseTime());
     auto canRetry = m_route->isRetryable && m_sent < maxAttempts() && bootClockNow() + expectedTime < m_deadline && !m_context.shutdown.hasBegun()
-        && !m_context.poisonRequests.isSuspect(m_identity, bootClockNow());
+        && !m_context.poisonRequests.isSuspect(m_identity, bootClockNow()) && hasOtherTarget(stalled);
     if (!canRetry || !m_connection || !acquireRetry())
         return;
     m_hasRetry = true;
--- a/gypsumhub/gateway/request_handler.h
+++ b/gypsumhub/gateway/request_handler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gypsumhub/core/clock.h"
 #include "gypsumhub/gateway/caller_reply.h"
 #include "gypsumhub/gateway/gateway_context.h"
 #include "gypsumhub/gateway/relay_fields.h"
@@ -63,7 +64,15 @@
     auto classify(const std::shared_ptr<target_state>&, exchange_result&, time_point sentAt) -> attempt_end;
     auto classifyAnswer(target_state&, exchange_result&, time_point sentAt) -> attempt_end;
     auto recordLost(const std::shared_ptr<target_state>&, const exchange_result&, time_point sentAt) -> void;
-    auto handleStall() -> void;
+    /// Called when the attempt at `stalled` takes longer than usual.
+    auto handleStall(const target_state& stalled) -> void;
+    /// Whether a target besides `used` and those tried before takes requests.
+    auto hasOtherTarget(const target_state& used) -> bool
+    {
+        auto tried = m_tried;
+        tried.push_back(used.registration.id);
+        return m_context.balancer.choose({ m_dispatcher->service(), m_route->isRetryable, tried }, bootClockNow()).usable > 0;
+    }
     auto mayRetry() -> bool;
     auto acquireRetry() -> bool;
 
