--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -24,6 +24,8 @@
     constexpr auto sweepInterval = milliseconds(1000);
     constexpr auto acceptPause = milliseconds(20);
     constexpr auto lastWritesTime = milliseconds(10);
+    // Handlers that became due at the same moment run within this time of each other.
+    constexpr auto sameTurnTime = milliseconds(20);
 
 } // namespace
 
@@ -144,6 +146,8 @@
     auto timer = steady_timer(m_context.io.get_executor());
     for (;;) {
         auto now = bootClockNow();
+        m_tickDueAt = m_nextTick;
+        m_tickRanAt = now;
         callGuarded(m_context, "tick", [&] { processTick(now); });
         m_context.log.flush();
         m_nextTick = now + (m_context.openRequests > 0 ? busyTick : idleTick);
@@ -307,7 +311,9 @@
     reload();
     // A node that was paused has not run since its tick was due, and the platform may have sent the signal then. It would have killed the
     // node by now if that were longer ago than the limit.
-    auto earliest = std::min(now, m_nextTick);
+    // After a pause, the overdue tick may run just before the handler of the signal.
+    auto hasJustTicked = now < m_tickRanAt + sameTurnTime;
+    auto earliest = std::min(now, hasJustTicked ? m_tickDueAt : m_nextTick);
     m_stopSignalledAt = now < earliest + m_context.settings.stopLimit ? earliest : now;
     m_context.shutdown = shutdown_schedule(now, now + m_context.settings.stopLimit);
     m_context.shutdown.bringForward(now, m_stopSignalledAt + m_context.settings.stopLimit);
--- a/gypsumhub/gateway/gateway_node.h
+++ b/gypsumhub/gateway/gateway_node.h
@@ -75,6 +75,9 @@
     asio::signal_set m_signals;
     steady_timer m_stopTimer;
     time_point m_nextTick { never };
+    /// When the latest tick was due, and when it ran.
+    time_point m_tickDueAt { never };
+    time_point m_tickRanAt {};
     /// The earliest time at which the signal to stop may have been sent.
     time_point m_stopSignalledAt { never };
     /// Why the start failed.
