--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -71,7 +71,8 @@
     waitForSignal();
     unblockReloadSignal();
     asio::co_spawn(m_context.io.get_executor(), start(), asio::detached);
-    m_context.io.run();
+    // After an exception of a timer's or a socket's handler, the loop goes on with the next one.
+    while (!callGuarded(m_context, "event_loop", [this] { m_context.io.run(); })) { }
     if (m_startFault)
         return failWith(*m_startFault);
     m_context.log.write(log_class::Notable, "stopped", { { "node", m_context.settings.name }, { "open_requests", m_context.openRequests }, { "cut", m_context.unanswered.count() }, { "undelivered_answers", m_context.counters.undeliveredAnswers } });
@@ -321,7 +322,7 @@
     limitOpenRequests();
     sendHello();
     m_watcher.unregister();
-    asio::co_spawn(m_context.io.get_executor(), finishShutdown(), asio::detached);
+    spawnGuarded(m_context, "shutdown", finishShutdown(), [this] { m_context.io.stop(); });
 }
 
 auto gateway_node::limitOpenRequests() -> void
@@ -358,7 +359,6 @@
     co_await sleepUntil(m_stopTimer, bootClockNow() + lastWritesTime);
     m_context.unanswered.log(m_context.log);
     m_context.counters.undeliveredAnswers += m_context.callers.endAll();
-    m_context.io.stop();
 }
 
 auto gateway_node::reload() -> void
