--- a/gypsumhub/gateway/caller_connection.cpp
+++ b/gypsumhub/gateway/caller_connection.cpp
@@ -80,13 +80,17 @@
 auto caller_connection::end() -> bool
 {
     auto isDelivered = !m_writer.isWriting() && unsentBytes(m_socket).value_or(0) == 0;
-    if (!isDelivered || m_intake == intake::Closing)
+    // An answer that is cut cannot be saved, so requests behind it stay unread, and their caller learns that by a reset.
+    if (!m_writer.isWriting() && (!isDelivered || m_intake == intake::Closing))
         closeBehindAnswer(m_socket);
     return isDelivered;
 }
 
 auto caller_connection::hasSpace() -> bool
 {
+    // A stopping node must answer what it has read, so it leaves a request unread that it may not start yet.
+    if (m_context.shutdown.hasBegun() && !m_pipeline.hasRoom())
+        return false;
     auto isShort = m_buffer.size() < std::max<size_t>(minReadAheadBytes, limitsOf(m_context).headerBytes + m_received.size());
     return isShort && m_unreadMemory.resize(m_buffer.size());
 }
@@ -105,8 +109,10 @@
         auto [waitError] = co_await m_socket.async_wait(tcp_socket::wait_read, useTask);
         if (waitError)
             co_return false;
+        // The stop may have begun during the wait.
+        isOpen = co_await waitForSpace();
         co_await holdReading();
-        if (m_intake == intake::Closing)
+        if (!isOpen || m_intake == intake::Closing)
             co_return false;
         count = m_socket.read_some(asio::buffer(m_received), error);
     }
--- a/unit_tests/gateway/delivery_stop_test.cpp
+++ b/unit_tests/gateway/delivery_stop_test.cpp
@@ -133,3 +133,22 @@
         CHECK(results[index].endedCleanly);
     }
 }
+
+TEST_CASE("a request behind an answer that the end of a stopping node cuts stays unread, so that its caller may send it elsewhere")
+{
+    // More than the buffers of a connection hold.
+    constexpr auto bytes = size_t { 6'000'000 };
+    auto target = body_target(bytes);
+    auto fleet = std::make_unique<gateway_fixture>(stopLimit(2'000)); // ends 1.6 s after the stop
+    target.registerIn(*fleet);
+    auto caller = slow_caller(node());
+    caller.send(raw_request { .id = "long", .method = "POST", .path = "/unsafe/", .delayMs = 300 }.text());
+    REQUIRE(eventually([&] { return target.received("long") == 1; }));
+    fleet->nodes[0]->requestStop();
+    sleepFor(800);
+    CHECK(caller.send(raw_request { .id = "behind", .method = "POST", .path = "/unsafe/" }.text()));
+    fleet.reset();
+    auto received = caller.readToEnd();
+    CHECK_FALSE(received.endedCleanly);
+    CHECK(target.received("behind") == 0);
+}
