--- a/unit_tests/main/reload_signal_at_start_test.cpp
+++ b/unit_tests/main/reload_signal_at_start_test.cpp
@@ -51,14 +51,14 @@
 
 } // namespace
 
-TEST_CASE("a SIGHUP does not end a process that has just started: it is blocked before the constructors of the libraries run")
+TEST_CASE("SIGHUP at a start: it is blocked before the constructors of the libraries run")
 {
     auto file = started_program::textOf(GYPSUMHUB_PROGRAM);
     REQUIRE(file.size() > sizeof(Elf64_Ehdr));
     CHECK(dynamicEntry(file, DT_PREINIT_ARRAYSZ) >= sizeof(void*));
 }
 
-TEST_CASE("a SIGHUP does not end a process that has just started: few libraries are loaded before it is blocked" * doctest::skip(isSanitized))
+TEST_CASE("SIGHUP at a start: few libraries are loaded before it is blocked" * doctest::skip(isSanitized))
 {
     auto folder = start_folder { start_folder::settings() };
     auto program = started_program(folder.settingsFile(), folder.outputFile());
