--- a/gypsumhub/decision/selection/shutdown_schedule.h
+++ b/gypsumhub/decision/selection/shutdown_schedule.h
@@ -24,6 +24,11 @@
     auto accepts(time_point now, time_point deadline) const -> bool;
     /// The latest deadline that a target may be given: its answer at that deadline still reaches the caller.
     auto latestDeadline() const -> time_point { return m_latestDeadline; }
+    /// From then on a last answer says that its connection is closed behind it, whatever its length. Before that, a caller that keeps its
+    /// connection behind an answer still has time to use it again.
+    auto announcesCloseFrom() const -> time_point { return m_announcesCloseFrom; }
+    /// How long a caller may keep an idle connection from `now` on, in whole seconds as in a Keep-Alive field. 0 if it must not.
+    auto idleSeconds(time_point now) const -> int64_t;
     /// From then on the node reads no further request. A request that was not read may be sent again elsewhere.
     auto stopsReadingAt() const -> time_point { return m_stopsReadingAt; }
     /// When the process ends.
@@ -33,6 +38,7 @@
     time_point m_beganAt { never };
     time_point m_servesUntil { never };
     time_point m_latestDeadline { never };
+    time_point m_announcesCloseFrom { never };
     time_point m_stopsReadingAt { never };
     time_point m_endsAt { never };
 };
--- a/gypsumhub/gateway/caller_connection.cpp
+++ b/gypsumhub/gateway/caller_connection.cpp
@@ -21,8 +21,6 @@
     constexpr auto spaceCheckInterval = milliseconds(100);
     // How often a stopping node that leaves bytes unread checks whether the last answer is written.
     constexpr auto holdCheckInterval = milliseconds(5);
-    // How often a stopping node checks whether its last answer has reached the caller.
-    constexpr auto deliveryCheckInterval = milliseconds(20);
     // In seconds. A large body takes about this long to pass through a node.
     constexpr auto memoryRetryAfter = std::string_view { "1" };
 
@@ -80,9 +78,14 @@
 auto caller_connection::end() -> bool
 {
     auto isDelivered = !m_writer.isWriting() && unsentBytes(m_socket).value_or(0) == 0;
-    // An answer that is cut cannot be saved, so requests behind it stay unread, and their caller learns that by a reset.
-    if (!m_writer.isWriting() && (!isDelivered || m_intake == intake::Closing))
+    // An answer that is cut cannot be saved, so requests behind it stay unread, and their caller learns that by a reset. So do those
+    // that arrive at an idle connection.
+    if (m_writer.isWriting())
+        return false;
+    if (!isDelivered || m_intake == intake::Closing)
         closeBehindAnswer(m_socket);
+    else if (m_pipeline.isEmpty())
+        closeNow(m_socket);
     return isDelivered;
 }
 
@@ -124,7 +127,7 @@
 
 auto caller_connection::waitForSpace() -> task<bool>
 {
-    while (m_intake == intake::Requests && (m_waitsForMemory || !hasSpace())) {
+    while (m_intake == intake::Unread || (m_intake == intake::Requests && (m_waitsForMemory || !hasSpace()))) {
         if (!m_socket.is_open() || hasPeerClosed(m_socket))
             co_return false;
         co_await sleepUntil(m_spaceTimer, bootClockNow() + spaceCheckInterval);
@@ -230,6 +233,7 @@
     added.mayOverlap = added.handler->isRetryable();
     if (!added.keepOpen)
         m_intake = intake::Ignored;
+    m_hasPipelined = m_hasPipelined || !m_pipeline.isEmpty();
     m_context.counters.pipelined += m_pipeline.isEmpty() ? 0 : 1;
     m_pipeline.add(std::move(added));
     startRequests();
@@ -273,10 +277,9 @@
         co_return;
     m_isWriting = true;
     while (auto next = m_pipeline.nextToWrite()) {
-        auto isStopping = m_context.shutdown.hasBegun();
         auto keepOpen = !closesWith(*next);
         if (!keepOpen)
-            m_intake = intake::Ignored;
+            m_intake = next->keepOpen ? intake::Unread : intake::Ignored;
         auto isWritten = co_await writeReply(*next, keepOpen);
         m_pipeline.removeFirst();
         if (!isWritten) {
@@ -288,7 +291,6 @@
         } else {
             startRequests();
             co_await readRequests();
-            m_closesWhenDelivered = isStopping && hasAnsweredAll();
         }
     }
     m_isWriting = false;
@@ -300,6 +302,8 @@
 
 auto caller_connection::writeReply(pipelined_request& answered, bool keepOpen) -> task<bool>
 {
+    if (auto seconds = m_context.shutdown.idleSeconds(bootClockNow()); keepOpen && m_context.shutdown.hasBegun() && seconds > 0)
+        answered.reply->set(http::field::keep_alive, "timeout=" + std::to_string(seconds));
     auto isWritten = co_await m_writer.write(*answered.reply, keepOpen, answered.isHead);
     m_context.counters.undeliveredAnswers += m_writer.isGivenUp() ? 1 : 0;
     co_return isWritten;
@@ -307,15 +311,14 @@
 
 auto caller_connection::closesWith(const pipelined_request& answered) -> bool
 {
-    // A stopping node closes the connection when it has answered all that it has read. A long answer takes time to write, so it does not
-    // announce the close: requests that arrive meanwhile are served.
-    auto isLastOfStop = m_context.shutdown.hasBegun() && m_pipeline.hasOne() && !hasUnreadBytes();
-    return !answered.keepOpen || (isLastOfStop && isSentAtOnce(answered.reply->body().size(), unsentBytes(m_socket)));
-}
-
-auto caller_connection::hasAnsweredAll() -> bool
-{
-    return m_intake == intake::Requests && m_pipeline.isEmpty() && !hasUnreadBytes();
+    auto& shutdown = m_context.shutdown;
+    if (!answered.keepOpen || !shutdown.hasBegun() || !m_pipeline.hasOne() || hasUnreadBytes())
+        return !answered.keepOpen;
+    // A stopping node closes the connection when it has answered all that it has read. A long answer takes time to write, and requests
+    // that arrive meanwhile are served, so it announces the close only when its caller may find no time to use the connection again.
+    auto now = bootClockNow();
+    auto mayKeep = m_hasPipelined ? shutdown.idleSeconds(now) > 0 : now < shutdown.announcesCloseFrom();
+    return !mayKeep || isSentAtOnce(answered.reply->body().size(), unsentBytes(m_socket));
 }
 
 auto caller_connection::beginClosing() -> void
@@ -352,7 +355,7 @@
     else if (isReadingRequest())
         deadline = m_reader->hasHeader() ? m_receivedAt + limits.idleLimit : m_requestBeganAt + limits.headerReadLimit;
     else if (m_pipeline.isEmpty())
-        deadline = bootClockNow() + (m_closesWhenDelivered ? deliveryCheckInterval : limits.idleLimit);
+        deadline = bootClockNow() + limits.idleLimit;
     if (deadline == never || !m_socket.is_open() || m_hasCallerLeft)
         m_readTimer.disarm();
     else
@@ -364,9 +367,9 @@
     auto isDelivered = unsentBytes(m_socket).value_or(0) == 0;
     if (isReadingRequest())
         refuseBytes(result_code::RequestTooSlow);
-    else if (!m_pipeline.isEmpty() || hasUnreadBytes() || (m_closesWhenDelivered && !isDelivered))
-        updateReadDeadline(); // A request has arrived at the same time, or the answer is still on its way.
-    else if (m_closesWhenDelivered || !isDelivered)
+    else if (!m_pipeline.isEmpty() || hasUnreadBytes())
+        updateReadDeadline(); // A request has arrived at the same time.
+    else if (!isDelivered)
         beginClosing();
     else
         closeNow(m_socket);
--- a/gypsumhub/gateway/caller_connection.h
+++ b/gypsumhub/gateway/caller_connection.h
@@ -29,6 +29,8 @@
         Requests,
         /// The last request was read or refused. Further bytes are ignored until its answer is written.
         Ignored,
+        /// An answer of a stopping node that says that the connection is closed behind it is being written. Further bytes stay unread.
+        Unread,
         /// The last answer is written, and the connection waits until it may be closed behind it.
         Closing,
     };
@@ -39,7 +41,7 @@
     auto holdReading() -> task<>;
     /// Whether bytes of further requests have arrived that are still going to be read.
     auto hasUnreadBytes() -> bool;
-    /// Waits while no more bytes can be held. Returns false when the caller has left meanwhile.
+    /// Waits while no more bytes can be held or are to be read. Returns false when the caller has left meanwhile.
     auto waitForSpace() -> task<bool>;
     auto hasSpace() -> bool;
     /// Returns memory that held bytes which are parsed by now.
@@ -59,8 +61,6 @@
     auto writeReply(pipelined_request&, bool keepOpen) -> task<bool>;
     /// Whether the answer says that the connection is closed behind it.
     auto closesWith(const pipelined_request&) -> bool;
-    /// Whether everything that has arrived is answered.
-    auto hasAnsweredAll() -> bool;
     /// Ends the sending side behind the last answer; `run` then waits until the connection may be closed.
     auto beginClosing() -> void;
     auto finishClosing() -> task<>;
@@ -95,8 +95,8 @@
     intake m_intake { intake::Requests };
     /// The caller may still be sending the request that was refused.
     bool m_hasRefusedBytes { false };
-    /// A stopping node has answered everything and closes the connection once the caller has received it, unless more arrives.
-    bool m_closesWhenDelivered { false };
+    /// The caller has sent requests before earlier ones were answered.
+    bool m_hasPipelined { false };
     bool m_isWriting { false };
     bool m_hasCallerLeft { false };
 };
--- a/scripts/process_judge/caller.py
+++ b/scripts/process_judge/caller.py
@@ -1,4 +1,4 @@
-"""A caller that uses a connection until it is closed, with up to three requests under way on it."""
+"""Callers that use a connection until it is closed: with up to three requests under way on it, or with one at a time."""
 import asyncio
 import errno
 import select
@@ -38,6 +38,8 @@
         self.closing_at = None
         self.has_ended = False
         self.saw_closing = False
+        # How long the connection may be idle, as its last answer says.
+        self.idle_s = None
 
     async def fill(self):
         loop = asyncio.get_running_loop()
@@ -166,10 +168,17 @@
             position += len(batch)
             if not await self.exchange(wire, batch):
                 return
-            await asyncio.sleep(max([0.01] + [request.pause_s for request in batch]))
+            pause_s = self.pause(batch)
+            if wire.idle_s is not None and pause_s >= wire.idle_s:
+                break
+            await asyncio.sleep(pause_s)
         watch.cancel()
         wire.socket.close()
 
+    def pause(self, batch):
+        """How long the caller waits behind the answers to a batch."""
+        return max([0.01] + [request.pause_s for request in batch])
+
     def new_request(self, position):
         self.sent += 1
         deadline_ms = self.plan.chooser.randint(4000, 8000)
@@ -248,6 +257,8 @@
                 wire.saw_closing = True
                 if not self.sees_end_at_once(batch, int(fields.get("content-length", UNKNOWN_BYTES))):
                     wire.note_closing(self.written_at(request))
+            timeout = fields.get("keep-alive", "").partition("timeout=")[2].partition(",")[0]
+            wire.idle_s = int(timeout) if timeout else None
             if fields.get("request-id", request.id) != request.id:
                 self.record.say(f"{request.id}: got an answer to {fields['request-id']}")
             await self.read_body(wire, request, fields)
@@ -297,3 +308,35 @@
         except Ended:
             request.received = wire.total - before
             raise
+
+
+class SequentialPlan(Plan):
+    """One request at a time, small and long answers, and pauses of 0 to 2 s."""
+
+    def __init__(self, chooser):
+        super().__init__(chooser)
+        self.depth, self.reads_late = 1, False
+        self.bytes_per_s = chooser.choice((0, 0, 0, 0, 0, 600_000))
+        self.longest_idle_s = chooser.choice((0, 0.02, 0.3, 2.0))
+
+    def manner(self):
+        return f"one at a time, idle to {self.longest_idle_s:g} s, {super().manner()}"
+
+    def size(self, largest):
+        return self.chooser.randint(0, 2000) if self.chooser.random() < 0.4 else largest
+
+
+class SequentialCaller(PipeliningCaller):
+    """Sends one request at a time on a connection that it keeps, and gives up an idle one when its last answer says so."""
+
+    def __init__(self, index, node, record, history, chooser, choose_path, timeout_of):
+        super().__init__(index, node, record, history, chooser, choose_path, timeout_of)
+        self.plan = SequentialPlan(chooser)
+
+    def pause(self, batch):
+        return max([self.plan.chooser.uniform(0, self.plan.longest_idle_s)] + [request.pause_s for request in batch])
+
+    def new_request(self, position):
+        request = super().new_request(position)
+        request.is_alone = True
+        return request
--- a/scripts/process_judge/history.py
+++ b/scripts/process_judge/history.py
@@ -28,6 +28,7 @@
     `end` says how it ended: "answered", or how its connection ended without the whole answer: "in order" (no reset followed),
     "reset", "gave up" (the caller closed it) or "unsent". `status` is that of an answer whose head was read; `is_own` says that no
     target has signed it. `is_behind_reset`: the answer was read only after a write of the caller had failed.
+    `is_alone`: sent on a connection with one request at a time, whose earlier answers allowed its use.
     `closing_at`: the first of the end's arrival and the moment from which the node can have written an earlier answer of this connection that
     says `Connection: close`.
     """
@@ -48,6 +49,7 @@
     end: str = ""
     manner: str = ""
     is_begun: bool = False
+    is_alone: bool = False
     is_behind_reset: bool = False
     closing_at: float | None = None
     pieces: list = dataclasses.field(default_factory=list, repr=False)
--- a/scripts/process_judge/rules.py
+++ b/scripts/process_judge/rules.py
@@ -93,6 +93,17 @@
     return request.id in history.runs or ended_at - request.sent_at > h.LOSS_SLACK_S
 
 
+def unanswered_alone(history):
+    """LOST, stricter than RULES.md: requests of callers with one at a time, on connections that their nodes kept, without a whole answer."""
+    found = []
+    for request in history.requests:
+        if not request.is_alone or request.position < 2 or not is_unanswered(request) or is_disturbed(history, request):
+            continue
+        if request.ended_at < request.limit_at() - SAME_MOMENT_S:
+            found.append(h.Finding("LOST one at a time", request.node, describe(history, request), request.id))
+    return found
+
+
 def planned_work(history, request):
     """The SIGTERM or SIGHUP at whose side this unanswered request counts, or None."""
     for signal in reversed(history.signals_of(request.node, "term")):
@@ -235,7 +246,7 @@
     of = lambda line: [finding for finding in planned if finding.line == line]
     rules = {"FAULT own end": own_ends(history), "FAULT not ready": slow_starts(history), "FAULT did not end": slow_ends(history),
              "LOST 1": lost_in_touch(history), "LOST 2 passed on": of("LOST 2 passed on"), "LOST 2 read": of("LOST 2 read"),
-             "LOST 3": replaced_answers(history)}
+             "LOST 3": replaced_answers(history), "LOST one at a time": unanswered_alone(history)}
     sightings = {"read across a close": of("read across a close"), "may have been read": of("may have been read"), "answer destroyed": destroyed_answers(history),
                  "answer behind a reset": answers_behind_resets(history), "503 keeps connection": refusals_that_keep(history)}
     return rules, sightings
--- a/scripts/process_judge/world.py
+++ b/scripts/process_judge/world.py
@@ -1,4 +1,5 @@
-"""A run: five nodes, 12 targets of two services, 40 callers that pipeline, and one kind of trouble, all drawn from a seed."""
+"""A run: five nodes, 12 targets of two services, 40 callers that pipeline or have one request at a time, and one kind of trouble, all drawn
+from a seed."""
 import asyncio
 import random
 import shutil
@@ -8,7 +9,7 @@
 
 from . import history as h
 from . import report
-from .caller import PipeliningCaller
+from .caller import PipeliningCaller, SequentialCaller
 from .parties import Machine, TroubledStore, WorkingTarget, program_of
 
 TROUBLES = ("none", "hup", "config", "term", "term_all", "start_hup", "mixed_planned", "freeze", "kill", "store")
@@ -51,8 +52,9 @@
         self.history.began_at = s.now()
         self.until = s.now() + self.arguments.length
         lag = asyncio.create_task(self.measure_lag())
-        callers = [PipeliningCaller(f"{index}", self.nodes[index % len(self.nodes)], self.record, self.history,
-                                    random.Random(f"{self.arguments.seed} caller {index}"), self.choose_path, lambda: self.timeout_ms / 1000)
+        kind = SequentialCaller if self.arguments.world == "sequential" else PipeliningCaller
+        callers = [kind(f"{index}", self.nodes[index % len(self.nodes)], self.record, self.history,
+                        random.Random(f"{self.arguments.seed} caller {index}"), self.choose_path, lambda: self.timeout_ms / 1000)
                    for index in range(CALLERS_PER_NODE * len(self.nodes))]
         await asyncio.gather(*(caller.run(self.until) for caller in callers), self.disturb())
         await asyncio.sleep(1.5)
--- a/unit_tests/decision/selection/shutdown_schedule_test.cpp
+++ b/unit_tests/decision/selection/shutdown_schedule_test.cpp
@@ -51,6 +51,23 @@
     CHECK_FALSE(schedule.accepts(at(5'000), at(10'000)));
 }
 
+TEST_CASE("stop in turn: a caller that may use its connection again still finds time for it before the node stops reading")
+{
+    auto schedule = shutdown_schedule(at(0), at(6'000));
+    CHECK((schedule.announcesCloseFrom() > at(2'000)));
+    CHECK((schedule.announcesCloseFrom() + milliseconds(2'500) <= schedule.stopsReadingAt()));
+    for (auto ms = int64_t { 0 }; ms < 6'000; ms += 10) {
+        CAPTURE(ms);
+        CHECK(schedule.idleSeconds(at(ms)) <= 2);
+        CHECK((at(ms) + seconds(schedule.idleSeconds(at(ms))) <= std::max(at(ms), schedule.stopsReadingAt())));
+        if (at(ms) < schedule.announcesCloseFrom())
+            CHECK(schedule.idleSeconds(at(ms)) == 2);
+    }
+    CHECK(schedule.idleSeconds(at(5'000)) == 0);
+    // With a short limit there is no such time.
+    CHECK((shutdown_schedule(at(0), at(2'000)).announcesCloseFrom() < at(0)));
+}
+
 TEST_CASE("a stop limit that is shortened during a shutdown brings its end forward, one that is lengthened changes nothing")
 {
     auto schedule = shutdown_schedule(at(0), at(6'000));
@@ -59,6 +76,7 @@
     CHECK((schedule.endsAt() == shorter.endsAt()));
     CHECK((schedule.latestDeadline() == shorter.latestDeadline()));
     CHECK((schedule.stopsReadingAt() == shorter.stopsReadingAt()));
+    CHECK((schedule.announcesCloseFrom() == shorter.announcesCloseFrom()));
     CHECK_FALSE(schedule.accepts(at(1'600), at(9'000)));
     schedule.bringForward(at(600), at(6'000));
     CHECK((schedule.endsAt() == shorter.endsAt()));
--- a/unit_tests/gateway/body_target.h
+++ b/unit_tests/gateway/body_target.h
@@ -3,8 +3,10 @@
 #include "unit_tests/gateway/gateway_fixture.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <charconv>
 #include <mutex>
 #include <sys/socket.h>
 
@@ -13,8 +15,9 @@
 /// A target that answers each request with a body of a fixed length, after the time that the request states in `delayField`.
 class body_target {
 public:
-    explicit body_target(size_t bytes)
+    explicit body_target(size_t bytes, bool isChunked = false)
         : m_bytes(bytes)
+        , m_isChunked(isChunked)
         , m_acceptor(m_context, { asio::ip::make_address("127.0.0.1"), 0 })
         , m_thread([this] { acceptConnections(); })
     {
@@ -79,12 +82,25 @@
             }
             auto delay = std::string(request.get()[fake_gateway_target::delayField]);
             std::this_thread::sleep_for(std::chrono::milliseconds(delay.empty() ? 0 : std::stoi(delay)));
-            auto text = "HTTP/1.1 200 X\r\nRequest-Id: " + id + "\r\nUpstream-Signature: s\r\nContent-Length: " + std::to_string(m_bytes) + "\r\n\r\n" + std::string(m_bytes, 'x');
+            auto text = answerTo(id, request.get().method() == http::verb::head);
             asio::write(socket, asio::buffer(text), error);
         }
     }
 
+    auto answerTo(const std::string& id, bool isToHead) const -> std::string
+    {
+        auto head = "HTTP/1.1 200 X\r\nRequest-Id: " + id + "\r\nUpstream-Signature: s\r\n";
+        auto body = isToHead ? std::string {} : std::string(m_bytes, 'x');
+        if (!m_isChunked)
+            return head + "Content-Length: " + std::to_string(m_bytes) + "\r\n\r\n" + body;
+        auto size = std::array<char, 16> {};
+        auto end = std::to_chars(size.data(), size.data() + size.size(), m_bytes, 16).ptr;
+        auto chunks = isToHead ? std::string {} : std::string(size.data(), end) + "\r\n" + body + "\r\n0\r\n\r\n";
+        return head + "Transfer-Encoding: chunked\r\n\r\n" + chunks;
+    }
+
     size_t m_bytes;
+    bool m_isChunked;
     asio::io_context m_context;
     tcp::acceptor m_acceptor;
     std::mutex m_mutex;
