--- a/fakes/fake_keyspace_server.cpp
+++ b/fakes/fake_keyspace_server.cpp
@@ -25,7 +25,8 @@
 } // namespace
 
 fake_keyspace_server::fake_keyspace_server(const std::string& address)
-    : m_workGuard(boost::asio::make_work_guard(m_context))
+    : m_address(address)
+    , m_workGuard(boost::asio::make_work_guard(m_context))
     , m_server(m_context, address, 0, [this](auto, const fake_http_target& target, const std::string& body) { return answer(target, body); })
     , m_thread([this] { m_context.run(); })
 {
@@ -37,6 +38,24 @@
     m_thread.join();
 }
 
+auto fake_keyspace_server::portOf(size_t node) -> uint16_t
+{
+    while (m_doors.size() <= node) {
+        auto added = std::make_unique<door>();
+        added->server = std::make_unique<fake_http_server>(m_context, m_address, 0, [this, opened = added.get()](auto, const fake_http_target& target, const std::string& body) {
+            return opened->isTurnedAway ? fake_http_answer { .status = 503 } : answer(target, body);
+        });
+        m_doors.push_back(std::move(added));
+    }
+    return m_doors[node]->server->port();
+}
+
+auto fake_keyspace_server::setTurnedAway(size_t node, bool isTurnedAway) -> void
+{
+    portOf(node);
+    m_doors[node]->isTurnedAway = isTurnedAway;
+}
+
 auto fake_keyspace_server::put(const std::string& key, std::string value) -> void
 {
     auto lock = std::lock_guard(m_mutex);
--- a/fakes/fake_keyspace_server.h
+++ b/fakes/fake_keyspace_server.h
@@ -2,8 +2,10 @@
 
 #include "fakes/fake_http_server.h"
 
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -23,6 +25,10 @@
     auto remove(const std::string& key) -> void;
     /// While the store is unavailable, it closes connections without an answer.
     auto setUnavailable(bool) -> void;
+    /// Port of an address that serves one node, 0 for the first one, and may turn that node alone away.
+    auto portOf(size_t node) -> uint16_t;
+    /// While a node is turned away, its calls are refused with 503.
+    auto setTurnedAway(size_t node, bool) -> void;
     /// From now on, watches on `prefix` that have something to tell are not answered and their connections stay open; an empty prefix
     /// ends this.
     auto loseWatchAnswers(std::string prefix) -> void;
@@ -70,6 +76,12 @@
         uint64_t oldestLease { 1 };
     };
 
+    /// The address of one node.
+    struct door {
+        std::atomic<bool> isTurnedAway { false };
+        std::unique_ptr<fake_http_server> server;
+    };
+
     std::mutex m_mutex;
     content m_content;
     content m_copy;
@@ -77,9 +89,11 @@
     bool m_isUnavailable { false };
     std::string m_lostPrefix;
     int m_lostAnswers { 0 };
+    std::string m_address;
     boost::asio::io_context m_context { 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_workGuard;
     fake_http_server m_server;
+    std::vector<std::unique_ptr<door>> m_doors;
     std::thread m_thread;
 };
 
--- a/gypsumhub/decision/selection/store_outage.cpp
+++ b/gypsumhub/decision/selection/store_outage.cpp
@@ -15,6 +15,20 @@
 
 } // namespace
 
+auto store_outage::isGapBefore(time_point now) const -> bool
+{
+    if (m_failedAt == never)
+        return false;
+    return now - std::max({ m_answeredAt, m_servedAt, m_failedAt - maxCallTime }) >= minOutage;
+}
+
+auto store_outage::recordServed(time_point servedAt) -> void
+{
+    // A node that is served again first must not hide the outage from those that follow.
+    m_hasGap = m_hasGap || isGapBefore(servedAt);
+    m_servedAt = std::max(m_servedAt, servedAt);
+}
+
 auto store_outage::recordFailure(time_point now) -> void
 {
     m_failedAt = std::min(m_failedAt, now);
@@ -22,12 +36,11 @@
 
 auto store_outage::recordAnswer(time_point now, time_point servedAt) -> bool
 {
-    auto failedAt = std::exchange(m_failedAt, never);
-    auto answeredAt = std::exchange(m_answeredAt, now);
-    if (failedAt == never)
-        return false;
-    auto lastServedAt = std::max({ answeredAt, servedAt, failedAt - maxCallTime });
-    return now - lastServedAt >= minOutage;
+    m_servedAt = std::max(m_servedAt, servedAt);
+    auto hasEnded = std::exchange(m_hasGap, false) || isGapBefore(now);
+    m_failedAt = never;
+    m_answeredAt = now;
+    return hasEnded;
 }
 
 } // namespace gypsumhub
--- a/gypsumhub/gateway/store_access.h
+++ b/gypsumhub/gateway/store_access.h
@@ -22,6 +22,8 @@
     /// Records the status of a call to the store, and logs when the connection to the store is lost or regained. Returns whether the
     /// call succeeded.
     auto recordCall(std::string_view call, keyspace_status) -> bool;
+    /// Records that another node's copy matched the store at `servedAt`.
+    auto recordServed(time_point servedAt) -> void { m_outage.recordServed(servedAt); }
     /// Whether the last call to the store failed.
     auto isStoreLost() const -> bool { return m_isStoreLost; }
     /// Waits for about the given time, with jitter so that nodes that failed together do not retry together.
--- a/gypsumhub/gateway/store_watcher.cpp
+++ b/gypsumhub/gateway/store_watcher.cpp
@@ -23,7 +23,10 @@
 auto store_watcher::handleHello(const node_hello& hello) -> void
 {
     m_configuration.handleHello(hello);
-    auto* reader = m_access.context().memberView.reader(bootClockNow());
+    // The first node has no reader, but hears here of the node that reads in its place while the store turns it away.
+    auto now = bootClockNow();
+    m_access.recordServed(now - hello.viewAge);
+    auto* reader = m_access.context().memberView.reader(now);
     if (!reader || reader->name != hello.name)
         return;
     m_nodes.handleReaderHello(hello);
--- a/unit_tests/decision/selection/store_outage_test.cpp
+++ b/unit_tests/decision/selection/store_outage_test.cpp
@@ -28,6 +28,36 @@
     CHECK_FALSE(outage.recordAnswer(at(10'000), at(9'200)));
 }
 
+TEST_CASE("DRAIN: the store is not out while other nodes, which read in the place of the one that it turns away, say that it serves them")
+{
+    auto outage = store_outage {};
+    CHECK_FALSE(outage.recordAnswer(at(1'000), {}));
+    for (auto ms = int64_t { 1'500 }; ms < 10'000; ms += 500) {
+        outage.recordFailure(at(ms));
+        // The next node has read the store up to 1.1 s before its hello.
+        outage.recordServed(at(ms - 600));
+    }
+    CHECK_FALSE(outage.recordAnswer(at(10'000), {}));
+}
+
+TEST_CASE("an outage is noticed also by a node that hears of the store's return from another one first")
+{
+    for (auto failsFromMs : { 1'200, 2'600 }) {
+        CAPTURE(failsFromMs);
+        auto outage = store_outage {};
+        CHECK_FALSE(outage.recordAnswer(at(1'000), {}));
+        outage.recordServed(at(1'050));
+        for (auto ms = int64_t { failsFromMs }; ms < 6'000; ms += 200)
+            outage.recordFailure(at(ms));
+        // Hellos of nodes that the store does not serve either.
+        for (auto count = 0; count < 5; ++count)
+            outage.recordServed(at(1'050));
+        outage.recordServed(at(5'950));
+        CHECK(outage.recordAnswer(at(6'000), {}));
+        CHECK_FALSE(outage.recordAnswer(at(6'200), {}));
+    }
+}
+
 TEST_CASE("a store that serves nobody for longer is out, and its return is reported once")
 {
     auto outage = store_outage {};
--- a/unit_tests/gateway/gateway_fixture.h
+++ b/unit_tests/gateway/gateway_fixture.h
@@ -216,7 +216,7 @@
         settings.directoryAddress = addressOf(index, portOf(3));
         settings.metricsAddress = addressOf(index, portOf(5));
         settings.peerAddress = addressOf(index, portOf(4));
-        settings.storeAddress = { "127.0.0.1", store.port() };
+        settings.storeAddress = { "127.0.0.1", store.portOf(static_cast<size_t>(index)) };
         settings.stopLimit = m_stopLimit;
         settings.logDescriptor = ::fileno(m_log);
         nodes.push_back(std::make_unique<gateway_node>(settings, "none.ini"));
