--- a/fakes/fake_keyspace_server.cpp
+++ b/fakes/fake_keyspace_server.cpp
@@ -43,6 +43,8 @@
     while (m_doors.size() <= node) {
         auto added = std::make_unique<door>();
         added->server = std::make_unique<fake_http_server>(m_context, m_address, 0, [this, opened = added.get()](auto, const fake_http_target& target, const std::string& body) {
+            if (opened->isSilent)
+                return fake_http_answer { .delay = lostAnswerDelay };
             return opened->isTurnedAway ? fake_http_answer { .status = 503 } : answer(target, body);
         });
         m_doors.push_back(std::move(added));
@@ -56,6 +58,12 @@
     m_doors[node]->isTurnedAway = isTurnedAway;
 }
 
+auto fake_keyspace_server::setSilent(size_t node, bool isSilent) -> void
+{
+    portOf(node);
+    m_doors[node]->isSilent = isSilent;
+}
+
 auto fake_keyspace_server::put(const std::string& key, std::string value) -> void
 {
     auto lock = std::lock_guard(m_mutex);
--- a/fakes/fake_keyspace_server.h
+++ b/fakes/fake_keyspace_server.h
@@ -29,6 +29,8 @@
     auto portOf(size_t node) -> uint16_t;
     /// While a node is turned away, its calls are refused with 503.
     auto setTurnedAway(size_t node, bool) -> void;
+    /// While the store is silent to a node, its calls get no answer and their connections stay open.
+    auto setSilent(size_t node, bool) -> void;
     /// From now on, watches on `prefix` that have something to tell are not answered and their connections stay open; an empty prefix
     /// ends this.
     auto loseWatchAnswers(std::string prefix) -> void;
@@ -79,6 +81,7 @@
     /// The address of one node.
     struct door {
         std::atomic<bool> isTurnedAway { false };
+        std::atomic<bool> isSilent { false };
         std::unique_ptr<fake_http_server> server;
     };
 
--- a/gypsumhub/decision/selection/membership_view.h
+++ b/gypsumhub/decision/selection/membership_view.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,11 @@
 /// The view age in the hello of a reader that the store does not serve. The next node takes over without waiting.
 constexpr auto unservedReaderViewAge = seconds(60);
 
+/// The configuration age in the hello of a node that does not watch the configuration in the store.
+constexpr auto unwatchedConfigurationAge = seconds(60);
+/// The same for a node of a build that does not state it.
+constexpr auto unknownConfigurationAge = duration { -1 };
+
 /// The heartbeat that a node sends to the other nodes of its data centre several times a second.
 struct node_hello {
     std::string name;
@@ -48,6 +54,8 @@
     std::vector<host_demand> demands {};
     /// Hosts with a service to whose targets the node has lost its paths, at most `maxHelloHosts`.
     std::vector<std::string> lostHosts {};
+    /// Time since the store last answered the node's watch on the configuration.
+    duration configurationAge { unknownConfigurationAge };
 };
 
 /// Bounds the size of a hello.
@@ -82,7 +90,8 @@
     auto reader(time_point now) const -> const node_hello*;
     /// Whether this node is the first of its data centre and receives changes from a node of another one.
     auto hasRemoteUpstream(time_point now) const -> bool { return !localReader(now) && remoteUpstream(now); }
-    /// Whether this node watches the configuration in the store: the first two nodes of a data centre without an upstream do.
+    /// Whether this node watches the configuration in the store: the first two nodes of a data centre without an upstream do. When the
+    /// store no longer answers them, the next nodes take over one after the other.
     auto watchesConfiguration(time_point now) const -> bool;
     /// The nodes that receive this node's hellos and changes: those of its data centre, its upstream nodes, and the nodes of other
     /// data centres that send hellos to it.
@@ -138,6 +147,10 @@
     /// Staleness bound: a node with an older view is not a reader for its data centre. Larger for all but the next in line, so that it
     /// takes over alone when the views of a whole fleet grow stale at the same moment.
     auto maxReaderViewAge(time_point now) const -> duration;
+    /// How old the configuration of a preceding node may be before this node takes over watching it, or nullopt if only the views tell.
+    auto maxConfigurationAge(time_point now) const -> std::optional<duration>;
+    /// The number of active nodes of this data centre that precede this node, at most `limit`.
+    auto precedingNodes(int limit, time_point now) const -> int;
     /// Whether the node reads for this data centre and precedes this node in it, by name.
     auto isPrecedingReader(const node&, duration maxViewAge, time_point now) const -> bool;
     /// The data centres with a registered node, by the distance from the store and then by name, the same on every node with the same
--- a/gypsumhub/decision/selection/watch_timing.h
+++ b/gypsumhub/decision/selection/watch_timing.h
@@ -21,6 +21,8 @@
 
     /// The greatest age that a reader's view reaches while the store answers.
     static constexpr auto maxViewAge = duration { maxWait.ns + pause.ns * 5 / 4 + roundTripAllowance.ns };
+    /// The same for the configuration of a node that watches it.
+    static constexpr auto maxConfigurationAge = duration { maxConfigurationWait.ns + roundTripAllowance.ns };
 };
 
 } // namespace gypsumhub
--- a/gypsumhub/gateway/configuration_watcher.cpp
+++ b/gypsumhub/gateway/configuration_watcher.cpp
@@ -23,6 +23,7 @@
 configuration_watcher::configuration_watcher(store_access& access, std::function<void()> onProgress)
     : m_access(access)
     , m_onProgress(std::move(onProgress))
+    , m_recheckTimer(access.context().io.get_executor())
 {
 }
 
@@ -33,6 +34,9 @@
 
 auto configuration_watcher::handleHello(const node_hello& hello) -> void
 {
+    auto isOverdue = hello.configurationAge > watch_timing::maxConfigurationAge && hello.configurationAge < unwatchedConfigurationAge;
+    if (isOverdue)
+        m_recheckTimer.cancel();
     // A node that starts first lists all other nodes itself.
     if (m_isStarting || hello.configurationVersion <= versionInForce() || m_isCatchingUp)
         return;
@@ -40,6 +44,19 @@
     spawnGuarded(m_access.context(), "configuration_catch_up", catchUp(hello.name, hello.configurationVersion), [this] { m_isCatchingUp = false; });
 }
 
+auto configuration_watcher::age() const -> duration
+{
+    return m_matchedAt ? bootClockNow() - *m_matchedAt : unwatchedConfigurationAge;
+}
+
+auto configuration_watcher::recordMatch() -> void
+{
+    auto isFirst = !m_matchedAt;
+    m_matchedAt = bootClockNow();
+    if (isFirst)
+        m_onProgress();
+}
+
 auto configuration_watcher::versionInForce() const -> uint64_t
 {
     auto& routes = m_access.context().routes;
@@ -73,13 +90,16 @@
         if (m_access.context().routes && !m_access.context().memberView.watchesConfiguration(bootClockNow())) {
             // Other nodes watch the store; their hellos report a newer version.
             revision = 0;
-            co_await m_access.pause(readerCheckInterval);
+            m_matchedAt.reset();
+            co_await sleepUntil(m_recheckTimer, bootClockNow() + m_access.jittered(readerCheckInterval));
             continue;
         }
         if (revision == 0) {
             revision = co_await read();
             if (revision == 0)
                 co_await m_access.backOff();
+            else
+                recordMatch();
             continue;
         }
         auto watched = co_await m_access.store().follow(key, revision, bootClockNow() + watch_timing::maxConfigurationWait);
@@ -87,6 +107,7 @@
             revision = watched.value.revision;
             for (auto& change : watched.value.changes)
                 applyEntry(change.entry);
+            recordMatch();
         } else {
             revision = 0;
             co_await m_access.backOff();
--- a/gypsumhub/gateway/gateway_node.cpp
+++ b/gypsumhub/gateway/gateway_node.cpp
@@ -232,7 +232,7 @@
     auto isUnservedReader = m_watcher.isStoreLost() && m_context.memberView.isReader(now);
     auto viewAge = isUnservedReader ? unservedReaderViewAge : now - m_context.viewConfirmedAt;
     auto hello = node_hello { m_context.settings.name, isReady(), m_context.shutdown.hasBegun(), m_context.routes ? m_context.routes->version() : 0,
-        m_context.view.digest(), viewAge, m_watcher.nodesDigest(), std::move(demands), std::move(lostHosts) };
+        m_context.view.digest(), viewAge, m_watcher.nodesDigest(), std::move(demands), std::move(lostHosts), m_watcher.configurationAge() };
     m_peers.send({ m_context.settings.name, hello }, m_context.memberView.recipients(now));
 }
 
--- a/gypsumhub/gateway/node_datagram.capnp
+++ b/gypsumhub/gateway/node_datagram.capnp
@@ -31,6 +31,8 @@
   demands @6 :List(HostDemand);
   # Hosts with a service to whose targets the node has lost its paths.
   lostHosts @7 :List(Text);
+  # Time since the sender's configuration was known to match the store, plus one. 0 if the sender's build does not state it.
+  configurationAgeMs @8 :UInt32;
 }
 
 # The load that the callers of one host put on the node.
--- a/gypsumhub/gateway/node_datagram.capnp.h
+++ b/gypsumhub/gateway/node_datagram.capnp.h
@@ -70,7 +70,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fd6dd7a62b49c67d, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(fd6dd7a62b49c67d, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -467,6 +467,8 @@
   inline bool hasLostHosts() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLostHosts() const;
 
+  inline  ::uint32_t getConfigurationAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -528,6 +530,9 @@
   inline void adoptLostHosts(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLostHosts();
 
+  inline  ::uint32_t getConfigurationAgeMs();
+  inline void setConfigurationAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2298,6 +2303,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t NodeHello::Reader::getConfigurationAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t NodeHello::Builder::getConfigurationAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void NodeHello::Builder::setConfigurationAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HostDemand::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/gypsumhub/gateway/node_datagram.cpp
+++ b/gypsumhub/gateway/node_datagram.cpp
@@ -74,6 +74,8 @@
             written.setViewAgeMs(toMilliseconds(hello.viewAge));
             written.setNodesDigest(hello.nodesDigest);
             writeLostHosts(written, hello.lostHosts);
+            if (hello.configurationAge != unknownConfigurationAge)
+                written.setConfigurationAgeMs(toMilliseconds(hello.configurationAge) + 1);
             if (hello.demands.empty())
                 return;
             auto demands = written.initDemands(static_cast<uint32_t>(hello.demands.size()));
@@ -313,6 +315,12 @@
         return leaving;
     }
 
+    auto readConfigurationAge(wire::NodeHello::Reader hello) -> duration
+    {
+        auto stated = hello.getConfigurationAgeMs();
+        return stated == 0 ? unknownConfigurationAge : milliseconds(stated - 1);
+    }
+
     auto readDatagram(wire::NodeDatagram::Reader datagram, time_point now) -> std::optional<node_datagram>
     {
         auto read = node_datagram { datagram.getSender().cStr(), {} };
@@ -320,7 +328,7 @@
         case wire::NodeDatagram::HELLO: {
             auto hello = datagram.getHello();
             read.content = node_hello { read.sender, hello.getIsReady(), hello.getIsLeaving(), hello.getConfigurationVersion(),
-                hello.getViewDigest(), milliseconds(hello.getViewAgeMs()), hello.getNodesDigest(), readDemands(hello), readLostHosts(hello) };
+                hello.getViewDigest(), milliseconds(hello.getViewAgeMs()), hello.getNodesDigest(), readDemands(hello), readLostHosts(hello), readConfigurationAge(hello) };
             return read;
         }
         case wire::NodeDatagram::OUTCOMES:
--- a/gypsumhub/gateway/store_access.cpp
+++ b/gypsumhub/gateway/store_access.cpp
@@ -24,11 +24,15 @@
 {
 }
 
+auto store_access::jittered(duration length) const -> duration
+{
+    return { static_cast<int64_t>(static_cast<double>(length.ns) * (0.75 + 0.5 * m_context.random.unit())) };
+}
+
 auto store_access::pause(duration length) -> task<>
 {
     auto timer = steady_timer(m_context.io.get_executor());
-    auto jittered = duration { static_cast<int64_t>(static_cast<double>(length.ns) * (0.75 + 0.5 * m_context.random.unit())) };
-    co_await sleepUntil(timer, bootClockNow() + jittered);
+    co_await sleepUntil(timer, bootClockNow() + jittered(length));
 }
 
 auto store_access::recordCall(std::string_view call, keyspace_status status) -> bool
--- a/gypsumhub/gateway/store_access.h
+++ b/gypsumhub/gateway/store_access.h
@@ -26,7 +26,9 @@
     auto recordServed(time_point servedAt) -> void { m_outage.recordServed(servedAt); }
     /// Whether the last call to the store failed.
     auto isStoreLost() const -> bool { return m_isStoreLost; }
-    /// Waits for about the given time, with jitter so that nodes that failed together do not retry together.
+    /// About the given time, so that nodes that failed together do not retry together.
+    auto jittered(duration) const -> duration;
+    /// Waits for about the given time.
     auto pause(duration) -> task<>;
     /// Waits after a failed call, longer the longer the outage lasts: refused calls cost the store as much as others.
     auto backOff() -> task<>;
--- a/gypsumhub/gateway/store_watcher.h
+++ b/gypsumhub/gateway/store_watcher.h
@@ -25,6 +25,7 @@
     /// This node's copy of the entries that another node lacks. Returns nullopt for a prefix that this node does not hold.
     auto listFor(const listing_query&) const -> std::optional<key_listing>;
     auto isStoreLost() const -> bool { return m_access.isStoreLost(); }
+    auto configurationAge() const -> duration { return m_configuration.age(); }
     auto nodesDigest() const -> uint64_t { return m_nodes.digest(); }
 
 private:
--- a/unit_tests/decision/selection/membership_view_test.cpp
+++ b/unit_tests/decision/selection/membership_view_test.cpp
@@ -88,6 +88,54 @@
     CHECK(third.watchesConfiguration(at(400)));
 }
 
+TEST_CASE("CONFIG: when the store no longer answers the watching nodes, the next ones take over one after the other, although their views are fresh")
+{
+    auto makeWatched = [](const std::string& name, int64_t ageMs) {
+        auto hello = makeHello(name);
+        hello.viewAge = milliseconds(900);
+        hello.configurationAge = ageMs < 0 ? unwatchedConfigurationAge : milliseconds(ageMs);
+        return hello;
+    };
+    auto names = std::vector<std::string> { "n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8" };
+    auto watchers = [&](int64_t firstAgeMs, int64_t secondAgeMs, int64_t thirdAgeMs) {
+        auto watching = std::vector<std::string> {};
+        for (auto& own : names) {
+            auto memberView = membership_view(makeNode(own));
+            for (auto& other : names) {
+                memberView.recordRegistration(makeNode(other));
+                auto ageMs = other == "n1" ? firstAgeMs : other == "n2" ? secondAgeMs : other == "n3" ? thirdAgeMs : -1;
+                if (other != own)
+                    memberView.recordHello(makeWatched(other, ageMs), at(0));
+            }
+            if (memberView.watchesConfiguration(at(100)))
+                watching.push_back(own);
+        }
+        return watching;
+    };
+    using name_list = std::vector<std::string>;
+    auto quietMs = watch_timing::maxConfigurationAge.milliseconds();
+    CHECK((watchers(quietMs, 0, -1) == name_list { "n1", "n2" }));
+    CHECK((watchers(quietMs, quietMs, -1) == name_list { "n1", "n2" }));
+    CHECK((watchers(1'250, 300, -1) == name_list { "n1", "n2", "n3" }));
+    CHECK((watchers(1'250, 1'220, -1) == name_list { "n1", "n2", "n3" }));
+    // The third node has read the store; the fourth one is the second that watches it again.
+    CHECK((watchers(1'390, 1'390, 50) == name_list { "n1", "n2", "n3", "n4" }));
+    CHECK((watchers(1'390, 1'390, -1) == name_list { "n1", "n2", "n3", "n4" }));
+    CHECK((watchers(1'700, 1'700, -1) == name_list { "n1", "n2", "n3", "n4", "n5", "n6" }));
+    CHECK((watchers(1'700, 1'700, 300) == name_list { "n1", "n2", "n3", "n4", "n5", "n6" }));
+}
+
+TEST_CASE("nodes of a build that does not state the age of its configuration count by their views")
+{
+    auto third = makeView("n3");
+    for (auto name : { "n1", "n2" }) {
+        auto hello = makeHello(name);
+        hello.viewAge = milliseconds(900);
+        third.recordHello(hello, at(400));
+    }
+    CHECK_FALSE(third.watchesConfiguration(at(400)));
+}
+
 TEST_CASE("a reader keeps its role while no registration changes and each of its watches takes the full wait")
 {
     auto second = makeView("n2"), third = makeView("n3");
--- a/unit_tests/gateway/node_datagram_test.cpp
+++ b/unit_tests/gateway/node_datagram_test.cpp
@@ -151,10 +151,11 @@
 TEST_CASE("datagrams carry hellos, outcomes and registrations with ages instead of clock times")
 {
     auto later = now + seconds(1000);
-    auto hello = node_hello { "n1", true, false, 31, 99, milliseconds(250), 7, { { "h.example", 12.5, 0.25 } }, { "lost.example" } };
+    auto hello = node_hello { "n1", true, false, 31, 99, milliseconds(250), 7, { { "h.example", 12.5, 0.25 } }, { "lost.example" }, milliseconds(700) };
     auto read = decodeDatagram(encodeDatagram({ "n1", hello }, now), later);
     REQUIRE(read);
     CHECK(std::get<node_hello>(read->content).viewDigest == 99);
+    CHECK((std::get<node_hello>(read->content).configurationAge == milliseconds(700)));
     CHECK(std::get<node_hello>(read->content).lostHosts == std::vector<std::string> { "lost.example" });
     REQUIRE(std::get<node_hello>(read->content).demands.size() == 1);
     CHECK(std::get<node_hello>(read->content).demands.front().host == "h.example");
