--- a/gypsumhub/gateway/caller_connection.cpp
+++ b/gypsumhub/gateway/caller_connection.cpp
@@ -229,7 +229,7 @@
 {
     auto added = pipelined_request { .isHead = message.method() == http::verb::head, .keepOpen = message.keep_alive(), .bodyBytes = message.body().size() };
     added.handler = std::make_shared<request_handler>(m_context, std::move(message), m_callerAddress, m_receivedAt);
-    added.memory = std::exchange(m_requestMemory, buffer_budget::reservation(m_context.buffers));
+    added.memory = std::exchange(m_requestMemory, buffer_budget::reservation(m_context.buffers, memory_use::Request));
     added.mayOverlap = added.handler->isRetryable();
     if (!added.keepOpen)
         m_intake = intake::Ignored;
--- a/gypsumhub/gateway/caller_connection.h
+++ b/gypsumhub/gateway/caller_connection.h
@@ -82,7 +82,7 @@
     /// Received bytes that are not parsed yet.
     beast::flat_buffer m_buffer;
     buffer_budget::reservation m_unreadMemory { m_context.buffers };
-    buffer_budget::reservation m_requestMemory { m_context.buffers };
+    buffer_budget::reservation m_requestMemory { m_context.buffers, memory_use::Request };
     /// The request that is being read waits for memory until this time. Meanwhile nothing is received.
     time_point m_memoryWaitUntil {};
     bool m_waitsForMemory { false };
--- a/gypsumhub/platform/kv_client.cpp
+++ b/gypsumhub/platform/kv_client.cpp
@@ -152,7 +152,7 @@
         co_return reply {};
     auto parser = http::response_parser<http::string_body> {};
     parser.body_limit(maxAnswerBytes);
-    auto reservation = buffer_budget::reservation(m_budget);
+    auto reservation = buffer_budget::reservation(m_budget, memory_use::State);
     auto readError = co_await readHttpMessage(used->socket, used->buffer, parser, reservation);
     if (readError || !reservation.resize(parser.get().body().size() * maxParsedSize))
         co_return reply {};
@@ -190,7 +190,7 @@
 auto kv_client::listPages(std::string firstPath, time_point deadline) -> task<keyspace_result<key_listing>>
 {
     auto result = keyspace_result<key_listing> { keyspace_status::Ok };
-    auto reservation = buffer_budget::reservation(m_budget);
+    auto reservation = buffer_budget::reservation(m_budget, memory_use::State);
     auto listedBytes = size_t { 0 };
     auto after = std::string {};
     auto firstEra = std::optional<uint16_t> {};
