--- a/gypsumhub/proxy/caller_session.cpp
+++ b/gypsumhub/proxy/caller_session.cpp
@@ -20,6 +20,8 @@
 
     constexpr auto headReadBytes = size_t { 4 * 1024 };
     constexpr auto bodyReadBytes = size_t { 64 * 1024 };
+    // Callers that keep a connection behind an answer use it again within this time.
+    constexpr auto callerPause = seconds(2);
 
     auto viewOf(const beast::flat_buffer& buffer) -> std::span<const char>
     {
@@ -91,6 +93,7 @@
         keepOpen = co_await handle(std::move(*received.message));
         decrement(m_context.counters.requestsInFlight);
         setPhase(phase::Idle);
+        m_keptAt = steadyClockNow();
     }
     if (m_closesBehindAnswer)
         co_await closeGracefully();
@@ -281,7 +284,7 @@
 {
     // Unread bytes in the socket are the start of a request.
     auto byte = char {};
-    auto isIdle = m_phase == phase::Idle && ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
+    auto isIdle = m_phase == phase::Idle && steadyClockNow() >= m_keptAt + callerPause && ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
     if (isIdle)
         close();
 }
--- a/gypsumhub/proxy/caller_session.h
+++ b/gypsumhub/proxy/caller_session.h
@@ -34,7 +34,7 @@
     /// Closes the socket and cancels the request in progress.
     auto cancel() -> void;
 
-    /// Closes the socket if no byte of a request has arrived since the last answer.
+    /// Closes the socket if no byte of a request has arrived since the last answer, and its caller had time to send one.
     auto closeIfIdle() -> void;
 
 private:
@@ -86,6 +86,8 @@
     phase m_phase { phase::Idle };
     beast::flat_buffer m_buffer;
     steady_timer m_timeoutTimer;
+    /// When the last answer that did not announce a close was written.
+    time_point m_keptAt {};
     uint64_t m_timeoutGeneration { 0 };
     bool m_expired { false };
     bool m_watchesDisconnect { false };
