--- a/gypsumhub/decision/selection/membership_view.cpp
+++ b/gypsumhub/decision/selection/membership_view.cpp
@@ -1,6 +1,7 @@
 #include "gypsumhub/decision/selection/membership_view.h"
 
 #include "gypsumhub/core/hash.h"
+#include "gypsumhub/decision/selection/configuration_takeover.h"
 #include "gypsumhub/decision/selection/watch_timing.h"
 
 #include <algorithm>
@@ -16,14 +17,6 @@
     // Failover: when the last contact of the designated reader with the store is older, the next node takes over.
     constexpr auto readerViewAgeLimit = milliseconds(1300);
     static_assert(watch_timing::maxViewAge < readerViewAgeLimit, "a reader would lose its role whenever no registration changes for a second");
-    // The same for a node that watches the configuration. Each further node in line waits for a step longer, until the one before it has read
-    // the store and sent a hello.
-    constexpr auto configurationAgeLimit = milliseconds(1200);
-    constexpr auto configurationTakeoverStep = milliseconds(100);
-    static_assert(watch_timing::maxConfigurationAge < configurationAgeLimit, "others would take over whenever the configuration does not change for a second");
-    constexpr auto configurationWatchers = 2;
-    // Nodes behind the watching ones that take over by the age of the configuration.
-    constexpr auto configurationSuccessors = 4;
     // Time for the next reader to read the store and to send its first hello.
     constexpr auto takeoverTime = milliseconds(500);
     // Registrations that arrive through a remote upstream are older by one hello interval.
@@ -215,15 +208,6 @@
     return preceding;
 }
 
-auto membership_view::maxConfigurationAge(time_point now) const -> std::optional<duration>
-{
-    constexpr auto limit = configurationWatchers + configurationSuccessors;
-    auto preceding = precedingNodes(limit, now);
-    if (hasPrecedingDataCentre() || preceding < configurationWatchers || preceding == limit)
-        return std::nullopt;
-    return configurationAgeLimit + configurationTakeoverStep * (preceding - configurationWatchers);
-}
-
 auto membership_view::isPrecedingReader(const node& other, duration maxViewAge, time_point now) const -> bool
 {
     if (other.registration.dataCentre != m_own.dataCentre || other.registration.name >= m_own.name)
@@ -297,7 +281,7 @@
 
 auto membership_view::watchesConfiguration(time_point now) const -> bool
 {
-    auto maxAge = maxConfigurationAge(now);
+    auto maxAge = hasPrecedingDataCentre() ? std::nullopt : configuration_takeover::maxAge(precedingNodes(configuration_takeover::nodes, now));
     auto isCurrent = [&](const node_hello& hello) { return !maxAge || hello.configurationAge < *maxAge; };
     auto precedingReaders = std::ranges::count_if(m_nodes, [&, maxViewAge = maxReaderViewAge(now)](auto& entry) { return isPrecedingReader(entry.second, maxViewAge, now) && isCurrent(entry.second.hello); });
     return precedingReaders == 0 ? !remoteUpstream(now) : precedingReaders == 1 && !hasPrecedingDataCentre();
--- a/gypsumhub/decision/selection/membership_view.h
+++ b/gypsumhub/decision/selection/membership_view.h
@@ -7,7 +7,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,7 +36,7 @@
 /// The configuration age in the hello of a node that does not watch the configuration in the store.
 constexpr auto unwatchedConfigurationAge = seconds(60);
 /// The same for a node of a build that does not state it.
-constexpr auto unknownConfigurationAge = duration { -1 };
+constexpr auto unknownConfigurationAge = milliseconds(-1);
 
 /// The heartbeat that a node sends to the other nodes of its data centre several times a second.
 struct node_hello {
@@ -147,8 +146,6 @@
     /// Staleness bound: a node with an older view is not a reader for its data centre. Larger for all but the next in line, so that it
     /// takes over alone when the views of a whole fleet grow stale at the same moment.
     auto maxReaderViewAge(time_point now) const -> duration;
-    /// How old the configuration of a preceding node may be before this node takes over watching it, or nullopt if only the views tell.
-    auto maxConfigurationAge(time_point now) const -> std::optional<duration>;
     /// The number of active nodes of this data centre that precede this node, at most `limit`.
     auto precedingNodes(int limit, time_point now) const -> int;
     /// Whether the node reads for this data centre and precedes this node in it, by name.
--- a/gypsumhub/gateway/node_datagram.cpp
+++ b/gypsumhub/gateway/node_datagram.cpp
@@ -74,8 +74,7 @@
             written.setViewAgeMs(toMilliseconds(hello.viewAge));
             written.setNodesDigest(hello.nodesDigest);
             writeLostHosts(written, hello.lostHosts);
-            if (hello.configurationAge != unknownConfigurationAge)
-                written.setConfigurationAgeMs(toMilliseconds(hello.configurationAge) + 1);
+            written.setConfigurationAgeMs(toMilliseconds(hello.configurationAge - unknownConfigurationAge));
             if (hello.demands.empty())
                 return;
             auto demands = written.initDemands(static_cast<uint32_t>(hello.demands.size()));
@@ -315,12 +314,6 @@
         return leaving;
     }
 
-    auto readConfigurationAge(wire::NodeHello::Reader hello) -> duration
-    {
-        auto stated = hello.getConfigurationAgeMs();
-        return stated == 0 ? unknownConfigurationAge : milliseconds(stated - 1);
-    }
-
     auto readDatagram(wire::NodeDatagram::Reader datagram, time_point now) -> std::optional<node_datagram>
     {
         auto read = node_datagram { datagram.getSender().cStr(), {} };
@@ -328,7 +321,8 @@
         case wire::NodeDatagram::HELLO: {
             auto hello = datagram.getHello();
             read.content = node_hello { read.sender, hello.getIsReady(), hello.getIsLeaving(), hello.getConfigurationVersion(),
-                hello.getViewDigest(), milliseconds(hello.getViewAgeMs()), hello.getNodesDigest(), readDemands(hello), readLostHosts(hello), readConfigurationAge(hello) };
+                hello.getViewDigest(), milliseconds(hello.getViewAgeMs()), hello.getNodesDigest(), readDemands(hello), readLostHosts(hello),
+                unknownConfigurationAge + milliseconds(hello.getConfigurationAgeMs()) };
             return read;
         }
         case wire::NodeDatagram::OUTCOMES:
--- a/gypsumhub/proxy/caller_session.cpp
+++ b/gypsumhub/proxy/caller_session.cpp
@@ -20,8 +20,6 @@
 
     constexpr auto headReadBytes = size_t { 4 * 1024 };
     constexpr auto bodyReadBytes = size_t { 64 * 1024 };
-    // Callers that keep a connection behind an answer use it again within this time.
-    constexpr auto callerPause = seconds(2);
 
     auto viewOf(const beast::flat_buffer& buffer) -> std::span<const char>
     {
--- a/gypsumhub/proxy/caller_session.h
+++ b/gypsumhub/proxy/caller_session.h
@@ -38,6 +38,9 @@
     auto closeIfIdle() -> void;
 
 private:
+    // Callers that keep a connection behind an answer use it again within this time.
+    static constexpr auto callerPause = seconds(2);
+
     // Whether the connection waits for the first byte of a request, receives a request, handles one, or closes behind its last answer.
     enum class phase : uint8_t {
         Idle,
--- a/unit_tests/decision/selection/membership_view_test.cpp
+++ b/unit_tests/decision/selection/membership_view_test.cpp
@@ -103,7 +103,9 @@
             auto memberView = membership_view(makeNode(own));
             for (auto& other : names) {
                 memberView.recordRegistration(makeNode(other));
-                auto ageMs = other == "n1" ? firstAgeMs : other == "n2" ? secondAgeMs : other == "n3" ? thirdAgeMs : -1;
+                auto ageMs = other == "n1" ? firstAgeMs : other == "n2" ? secondAgeMs
+                    : other == "n3"                                     ? thirdAgeMs
+                                                                        : -1;
                 if (other != own)
                     memberView.recordHello(makeWatched(other, ageMs), at(0));
             }
--- a/unit_tests/gateway/node_datagram_test.cpp
+++ b/unit_tests/gateway/node_datagram_test.cpp
@@ -156,6 +156,8 @@
     REQUIRE(read);
     CHECK(std::get<node_hello>(read->content).viewDigest == 99);
     CHECK((std::get<node_hello>(read->content).configurationAge == milliseconds(700)));
+    hello.configurationAge = unknownConfigurationAge;
+    CHECK((std::get<node_hello>(decodeDatagram(encodeDatagram({ "n1", hello }, now), later)->content).configurationAge == unknownConfigurationAge));
     CHECK(std::get<node_hello>(read->content).lostHosts == std::vector<std::string> { "lost.example" });
     REQUIRE(std::get<node_hello>(read->content).demands.size() == 1);
     CHECK(std::get<node_hello>(read->content).demands.front().host == "h.example");
--- a/unit_tests/gateway/stop_sequential_test.cpp
+++ b/unit_tests/gateway/stop_sequential_test.cpp
@@ -34,7 +34,10 @@
     }
 
     /// Sends no request from `until` on.
-    auto run(time_point until) -> void { m_thread = std::thread([this, until] { call(until); }); }
+    auto run(time_point until) -> void
+    {
+        m_thread = std::thread([this, until] { call(until); });
+    }
 
     auto join() -> result
     {
--- a/unit_tests/gateway/uploads_test.cpp
+++ b/unit_tests/gateway/uploads_test.cpp
@@ -31,8 +31,7 @@
     auto routes = routeText("safe", "safe") + "," + routeText("unsafe", "unsafe");
     for (auto index = 0; index < moreRoutes; ++index)
         routes += "," + routeText("more" + std::to_string(index), "safe");
-    fleet.store.put("op/config", R"({"version":"0000000)" + std::to_string(version) + R"(","routes":[)" + routes
-            + R"(],"services":[{"name":"bookdesk"},{"name":"empty"}],"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_read_limit":"3000ms","idle_limit":"15s"}})");
+    fleet.store.put("op/config", R"({"version":"0000000)" + std::to_string(version) + R"(","routes":[)" + routes + R"(],"services":[{"name":"bookdesk"},{"name":"empty"}],"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_read_limit":"3000ms","idle_limit":"15s"}})");
 }
 
 } // namespace
