--- a/gypsumhub/gateway/caller_connection.cpp
+++ b/gypsumhub/gateway/caller_connection.cpp
@@ -128,7 +128,8 @@
 auto caller_connection::waitForSpace() -> task<bool>
 {
     while (m_intake == intake::Unread || (m_intake == intake::Requests && (m_waitsForMemory || !hasSpace()))) {
-        if (!m_socket.is_open() || hasPeerClosed(m_socket))
+        // A caller that has closed its side behind its requests still receives the last answer.
+        if (!m_socket.is_open() || (m_intake == intake::Requests && hasPeerClosed(m_socket)))
             co_return false;
         co_await sleepUntil(m_spaceTimer, bootClockNow() + spaceCheckInterval);
         if (m_waitsForMemory)
--- a/unit_tests/gateway/slow_caller.h
+++ b/unit_tests/gateway/slow_caller.h
@@ -34,6 +34,12 @@
         return !error;
     }
 
+    auto closeSending() -> void
+    {
+        auto ignored = error_code {};
+        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
     /// Sends the bytes in pieces of equal length with a pause before each. Returns whether the connection took all of them.
     auto sendInPieces(const std::string& bytes, size_t pieces, std::chrono::microseconds pause) -> bool
     {
--- a/unit_tests/gateway/stop_sequential_test.cpp
+++ b/unit_tests/gateway/stop_sequential_test.cpp
@@ -1,6 +1,6 @@
 #include "gypsumhub/core/clock.h"
 #include "unit_tests/gateway/body_target.h"
-#include "unit_tests/gateway/raw_caller.h"
+#include "unit_tests/gateway/slow_caller.h"
 
 #include <memory>
 #include <thread>
@@ -153,3 +153,24 @@
     CHECK(answer.status == 200);
     CHECK(answer.isClosing);
 }
+
+TEST_CASE("LOST: late in a stop a long answer reaches a caller that has sent more meanwhile and has closed its side")
+{
+    constexpr auto bytes = size_t { 6'000'000 };
+    auto target = body_target(bytes);
+    auto fleet = gateway_fixture(milliseconds(2'000)); // ends 1.6 s after the stop
+    target.registerIn(fleet);
+    auto caller = slow_caller(node(), 64 * 1024);
+    caller.send(raw_request { .id = "long", .method = "POST", .path = "/unsafe/", .delayMs = 300, .body = "work" }.text());
+    REQUIRE(eventually([&] { return target.received("long") == 1; }));
+    fleet.nodes[0]->requestStop();
+    sleepFor(600);
+    caller.send(raw_request { .id = "behind", .method = "POST", .path = "/unsafe/", .body = "work" }.text());
+    caller.closeSending();
+    sleepFor(300);
+    auto received = caller.readToEnd();
+    CHECK((received.answers == std::vector<std::pair<unsigned, size_t>> { { 200, bytes } }));
+    CHECK(received.isWhole);
+    CHECK(received.endedCleanly);
+    CHECK(target.received("behind") == 0);
+}
