--- a/gypsumhub/gateway/caller_connection.cpp
+++ b/gypsumhub/gateway/caller_connection.cpp
@@ -78,13 +78,12 @@
 auto caller_connection::end() -> bool
 {
     auto isDelivered = !m_writer.isWriting() && unsentBytes(m_socket).value_or(0) == 0;
-    // An answer that is cut cannot be saved, so requests behind it stay unread, and their caller learns that by a reset. So do those
-    // that arrive at an idle connection.
+    // An answer that is cut cannot be saved, so requests behind it stay unread, and their caller learns that by a reset.
     if (m_writer.isWriting())
         return false;
     if (!isDelivered || m_intake == intake::Closing)
         closeBehindAnswer(m_socket);
-    else if (m_pipeline.isEmpty())
+    else if (m_isKeptByStop && m_pipeline.isEmpty())
         closeNow(m_socket);
     return isDelivered;
 }
@@ -279,6 +278,7 @@
     m_isWriting = true;
     while (auto next = m_pipeline.nextToWrite()) {
         auto keepOpen = !closesWith(*next);
+        m_isKeptByStop = keepOpen && m_context.shutdown.hasBegun();
         if (!keepOpen)
             m_intake = next->keepOpen ? intake::Unread : intake::Ignored;
         auto isWritten = co_await writeReply(*next, keepOpen);
--- a/gypsumhub/gateway/caller_connection.h
+++ b/gypsumhub/gateway/caller_connection.h
@@ -97,6 +97,8 @@
     bool m_hasRefusedBytes { false };
     /// The caller has sent requests before earlier ones were answered.
     bool m_hasPipelined { false };
+    /// The node was stopping when it wrote the last answer, and kept the connection.
+    bool m_isKeptByStop { false };
     bool m_isWriting { false };
     bool m_hasCallerLeft { false };
 };
