--- a/gypsumhub/gateway/target_http_connection.cpp
+++ b/gypsumhub/gateway/target_http_connection.cpp
@@ -120,9 +120,11 @@
 auto target_http_connection::writeAll(std::string head, std::shared_ptr<const std::string> body) -> task<>
 {
     auto buffers = std::array<asio::const_buffer, 2> { asio::buffer(head), asio::buffer(*body) };
-    // A write error needs no handling: the exchange ends without an answer.
-    co_await asio::async_write(m_socket, buffers, useTask);
+    auto [error, written] = co_await asio::async_write(m_socket, buffers, useTask);
     m_isWriting = false;
+    // The kernel reports a reset only once. If the write receives it, the read sees an orderly end of the connection. A broken pipe means
+    // that the target had ended its side before the reset, so that everything it sent has arrived.
+    m_isResetDuringWrite = error && error != asio::error::broken_pipe;
 }
 
 auto target_http_connection::exchange(const outbound_request& request, time_point deadline) -> task<exchange_result>
@@ -130,6 +132,7 @@
     auto result = exchange_result {};
     m_isReusable = false;
     m_hasInvalidStatus = false;
+    m_isResetDuringWrite = false;
     m_isWriting = true;
     armDeadline(deadline);
     // The answer may arrive before the target has read a long body, so writing and reading run concurrently.
@@ -175,7 +178,7 @@
         parser.skip(request.isHead);
         result.memory = buffer_budget::reservation(m_budget);
         auto error = co_await readHttpMessage(m_socket, m_buffer, parser, result.memory);
-        if (error)
+        if (error || (parser.need_eof() && m_isResetDuringWrite))
             co_return false;
         auto status = parser.get().result_int();
         if (isInterim(status))
--- a/gypsumhub/gateway/target_http_connection.h
+++ b/gypsumhub/gateway/target_http_connection.h
@@ -92,6 +92,8 @@
     time_point m_lastUsedAt {};
     bool m_isReusable { false };
     bool m_isWriting { false };
+    /// The write of the request has failed because the target reset the connection before it had ended its side.
+    bool m_isResetDuringWrite { false };
     bool m_hasTimedOut { false };
     bool m_isAbandoned { false };
     bool m_hasInvalidStatus { false };
--- a/unit_tests/gateway/raw_caller.h
+++ b/unit_tests/gateway/raw_caller.h
@@ -37,6 +37,7 @@
     std::string id;
     bool isClosing { false };
     std::string retryAfter;
+    std::string body;
 };
 
 /// A caller that sends bytes of its choice on one connection, without waiting for answers.
@@ -76,7 +77,7 @@
         m_endedCleanly = error == http::error::end_of_stream;
         if (error)
             return {};
-        return { answer.result_int(), std::string(answer["Request-Id"]), !answer.keep_alive(), std::string(answer[http::field::retry_after]) };
+        return { answer.result_int(), std::string(answer["Request-Id"]), !answer.keep_alive(), std::string(answer[http::field::retry_after]), std::move(answer.body()) };
     }
 
     auto read(size_t count) -> std::vector<raw_answer>
