--- a/gypsumhub/gateway/target_http_connection.cpp
+++ b/gypsumhub/gateway/target_http_connection.cpp
@@ -1,6 +1,7 @@
 #include "gypsumhub/gateway/target_http_connection.h"
 
 #include "gypsumhub/core/clock.h"
+#include "gypsumhub/core/http_status.h"
 #include "gypsumhub/platform/wire_names.h"
 #include "gypsumhub/store/http_reading.h"
 
@@ -24,15 +25,6 @@
     // After more answers to other requests than this, the expected answer is not going to arrive.
     constexpr auto maxStrayAnswers = 3;
 
-    constexpr auto minFinalStatus = 200U;
-    constexpr auto maxFinalStatus = 599U;
-
-    // Interim answers are 1xx except 101, since no request asks for another protocol.
-    auto isInterim(unsigned status) -> bool
-    {
-        return status / 100 == 1 && status != 101;
-    }
-
     // The `timeout` of a Keep-Alive field in seconds, or nullopt.
     auto keepAliveSeconds(std::string_view field) -> std::optional<int64_t>
     {
@@ -181,9 +173,9 @@
         if (error || (parser.need_eof() && m_isResetDuringWrite))
             co_return false;
         auto status = parser.get().result_int();
-        if (isInterim(status))
+        if (isInterimStatus(status))
             continue;
-        m_hasInvalidStatus = status < minFinalStatus || status > maxFinalStatus;
+        m_hasInvalidStatus = !isFinalStatus(status);
         if (m_hasInvalidStatus)
             co_return false;
         auto keepAlive = parser.keep_alive() && !parser.need_eof();
--- a/gypsumhub/main/health_check_runner.cpp
+++ b/gypsumhub/main/health_check_runner.cpp
@@ -1,6 +1,7 @@
 #include "gypsumhub/main/health_check_runner.h"
 
 #include "gypsumhub/core/clock.h"
+#include "gypsumhub/core/http_status.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -24,6 +25,8 @@
 
     auto classify(const http::response<http::string_body>& response) -> attempt_result
     {
+        if (!isFinalStatus(response.result_int()))
+            return attempt_result::CutAnswer;
         if (response["Gypsumhub-Declined"] == "draining")
             return attempt_result::Draining;
         if (response["Gypsumhub-Declined"] == "shed")
--- a/gypsumhub/proxy/target_exchange.cpp
+++ b/gypsumhub/proxy/target_exchange.cpp
@@ -1,5 +1,6 @@
 #include "gypsumhub/proxy/target_exchange.h"
 
+#include "gypsumhub/core/http_status.h"
 #include "gypsumhub/store/http_reading.h"
 
 #include "gypsumhub/proxy/header_names.h"
@@ -21,15 +22,6 @@
     // An exchange fails after this many interim answers (status 1xx).
     constexpr auto maxInterimAnswers = 8;
 
-    constexpr auto minFinalStatus = 200U;
-    constexpr auto maxFinalStatus = 599U;
-
-    // Interim answers are 1xx except 101, since no request asks for another protocol.
-    auto isInterim(unsigned status) -> bool
-    {
-        return status / 100 == 1 && status != 101;
-    }
-
 } // namespace
 
 target_exchange::target_exchange(
@@ -116,9 +108,9 @@
             co_return error;
         m_connection.markAnswerStarted();
         auto status = storage->get().result_int();
-        if (isInterim(status))
+        if (isInterimStatus(status))
             continue;
-        if (status < minFinalStatus || status > maxFinalStatus)
+        if (!isFinalStatus(status))
             break;
         co_return error_code {};
     }
