--- a/gypsumhub/platform/kv_client.cpp
+++ b/gypsumhub/platform/kv_client.cpp
@@ -3,6 +3,7 @@
 #include "gypsumhub/config/section_reader.h"
 #include "gypsumhub/core/clock.h"
 #include "gypsumhub/core/deadline_timer.h"
+#include "gypsumhub/core/http_status.h"
 #include "gypsumhub/core/store_position.h"
 #include "gypsumhub/platform/wire_names.h"
 #include "gypsumhub/store/base64.h"
@@ -154,7 +155,7 @@
     parser.body_limit(maxAnswerBytes);
     auto reservation = buffer_budget::reservation(m_budget, memory_use::State);
     auto readError = co_await readHttpMessage(used->socket, used->buffer, parser, reservation);
-    if (readError || !reservation.resize(parser.get().body().size() * maxParsedSize))
+    if (readError || !isFinalStatus(parser.get().result_int()) || !reservation.resize(parser.get().body().size() * maxParsedSize))
         co_return reply {};
     used->timer.disarm();
     auto parseError = error_code {};
--- a/gypsumhub/store/http_connection.cpp
+++ b/gypsumhub/store/http_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "gypsumhub/config/section_reader.h"
 #include "gypsumhub/core/clock.h"
+#include "gypsumhub/core/http_status.h"
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
@@ -97,7 +98,7 @@
     auto parser = response_parser();
     parser.body_limit(maxAnswerBytes);
     auto error = run(deadline, [&](auto handler) { http::async_read(m_stream, m_buffer, parser, handler); });
-    if (error)
+    if (error || !isFinalStatus(parser.get().result_int()))
         return failed(error);
     if (parser.keep_alive())
         m_reuseUntil = wallClockNow() + idleReuseLimit;
@@ -113,6 +114,8 @@
     auto parser = response_parser();
     parser.body_limit(maxAnswerBytes);
     auto error = run(deadline, [&](auto handler) { http::async_read_header(m_stream, m_buffer, parser, handler); });
+    if (error || !isFinalStatus(parser.get().result_int()))
+        return failed(error);
     auto& body = parser.get().body();
     auto shouldContinue = true;
     while (!error && shouldContinue && !parser.is_done()) {
--- a/unit_tests/platform/store_bytes_test.cpp
+++ b/unit_tests/platform/store_bytes_test.cpp
@@ -80,3 +80,14 @@
     CHECK(listFrom(chunkedHead + chunk, {}, std::chrono::milliseconds(5)).status == keyspace_status::Ok);
     CHECK(listFrom(chunkedHead + std::string("0\r\n\r\n"), {}, std::chrono::milliseconds(5)).status != keyspace_status::Unanswered);
 }
+
+// Guards against a write that counts as refused, though a store in trouble may have executed it.
+TEST_CASE("an answer of the store with a status outside 200 to 599 is no answer")
+{
+    for (auto text : { "000 X", "099 X", "100 X", "101 X", "600 X", "999 X" }) {
+        CAPTURE(text);
+        auto answer = "HTTP/1.1 " + std::string(text) + "\r\nStore-Era: 1\r\nContent-Length: 2\r\n\r\n{}";
+        CHECK(listFrom(answer, {}).status == keyspace_status::Unanswered);
+    }
+    CHECK(listFrom("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", {}).status == keyspace_status::Refused);
+}
--- a/unit_tests/store/etcd_store_test.cpp
+++ b/unit_tests/store/etcd_store_test.cpp
@@ -1,5 +1,6 @@
 #include "gypsumhub/store/etcd_store.h"
 
+#include "fakes/fake_raw_server.h"
 #include "fakes/fake_store_server.h"
 #include "fakes/faults_of.h"
 #include "gypsumhub/core/clock.h"
@@ -98,6 +99,21 @@
     CHECK(other.get("head", callDeadline()).value().value().value == "value");
 }
 
+// Guards against a write that counts as not executed, though a store in trouble may have executed it.
+TEST_CASE("a reply with a status outside 200 to 599 is a lost reply")
+{
+    for (auto text : { "000 X", "099 X", "100 X", "101 X", "600 X", "999 X" }) {
+        CAPTURE(text);
+        auto server = fake_raw_server("127.0.0.1", "HTTP/1.1 " + std::string(text) + "\r\nContent-Length: 2\r\n\r\n{}", {});
+        auto writer = etcd_store({ { { "127.0.0.1", server.port() } } });
+        CHECK((codeOf([&] { return writer.compareAndSwap("head", 0, "value", callDeadline()); }) == result_code::StoreReplyLost));
+        auto reader = etcd_store({ { { "127.0.0.1", server.port() } } });
+        CHECK((codeOf([&] { return reader.get("head", callDeadline()); }) == result_code::StoreUnavailable));
+        auto watcher = etcd_store({ { { "127.0.0.1", server.port() } } });
+        CHECK((codeOf([&] { return watcher.watch("head", 0, callDeadline()); }) == result_code::StoreUnavailable));
+    }
+}
+
 TEST_CASE("an endpoint that refuses connections is skipped; when it is the only one, the store is unavailable")
 {
     auto running = running_store();
