--- a/gypsumhub/core/http_feed.h
+++ b/gypsumhub/core/http_feed.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <stdexcept>
+#include <string_view>
 
 namespace gypsumhub {
 
@@ -15,7 +16,8 @@
 
     /// Passes bytes to the parser and returns how many it has read; the rest must be passed again with the bytes that follow. Sets
     /// `http::error::need_more` when the message is not complete, `http::error::buffer_overflow` when a part of it is too long, and
-    /// `http::error::header_limit` when one field is.
+    /// `http::error::header_limit` when one field is. A folded line in the head of an answer is refused as `http::error::bad_field`, as
+    /// RFC 9112, section 5.2 allows. A parser that is not eager reads no more than the head.
     template <bool isRequest>
     auto put(http::basic_parser<isRequest>& parser, asio::const_buffer bytes, error_code& error) -> size_t
     {
@@ -25,7 +27,12 @@
             error = http::error::need_more;
             return read;
         }
-        while (read < bytes.size() && !parser.is_done() && !error)
+        if (!isRequest && !parser.is_header_done() && hasFoldedLine({ static_cast<const char*>(bytes.data()), bytes.size() })) {
+            error = http::error::bad_field;
+            return read;
+        }
+        auto shouldContinue = [&] { return !parser.is_done() && (parser.eager() || !parser.is_header_done()); };
+        while (read < bytes.size() && shouldContinue() && !error)
             read += putPart(parser, bytes + read, error);
         m_minBytes = error == http::error::need_more && parser.is_header_done() && parser.chunked() ? minLastChunkBytes : 0;
         if (!error && !parser.is_done())
@@ -39,6 +46,20 @@
     // "0", CR LF, CR LF. Nothing shorter can follow between two chunks.
     static constexpr auto minLastChunkBytes = size_t { 5 };
 
+    /// Whether a line of the head begins with a space or a tab. The parser would append it to the value before it. The unread bytes of a
+    /// head begin with a line.
+    static auto hasFoldedLine(std::string_view unread) -> bool
+    {
+        constexpr auto lineEnd = std::string_view { "\r\n" };
+        while (!unread.empty() && !unread.starts_with(lineEnd)) {
+            if (unread.front() == ' ' || unread.front() == '\t')
+                return true;
+            auto end = unread.find(lineEnd);
+            unread.remove_prefix(end == std::string_view::npos ? unread.size() : end + lineEnd.size());
+        }
+        return false;
+    }
+
     template <bool isRequest>
     static auto putPart(http::basic_parser<isRequest>& parser, asio::const_buffer bytes, error_code& error) -> size_t
     {
--- a/gypsumhub/proxy/target_exchange.cpp
+++ b/gypsumhub/proxy/target_exchange.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <limits>
@@ -102,8 +101,8 @@
         storage->header_limit(maxAnswerHeaderBytes);
         storage->body_limit(boost::none);
         storage->skip(withoutBody);
-        auto [error, bytes] = co_await http::async_read_header(m_connection.socket(), m_connection.buffer(), *storage, useTask);
-        m_answerStarted = m_answerStarted || storage->got_some();
+        auto error = co_await readHttpHead(m_connection.socket(), m_connection.buffer(), *storage, m_feed);
+        m_answerStarted = m_answerStarted || storage->got_some() || m_connection.buffer().size() > 0;
         if (error)
             co_return error;
         m_connection.markAnswerStarted();
--- a/gypsumhub/store/http_reading.h
+++ b/gypsumhub/store/http_reading.h
@@ -38,6 +38,25 @@
     co_return end;
 }
 
+/// Reads the head of a message. Bytes that follow it stay in `buffer`. `feed` has to be the same for all calls of a message.
+template <typename Stream, bool isRequest>
+auto readHttpHead(Stream& stream, beast::flat_buffer& buffer, http::basic_parser<isRequest>& parser, http_feed& feed) -> task<error_code>
+{
+    auto error = error_code {};
+    parser.eager(false);
+    for (;;) {
+        if (buffer.size() > 0)
+            buffer.consume(feed.put(parser, buffer.cdata(), error));
+        if (parser.is_header_done())
+            co_return error_code {};
+        if (error && error != http::error::need_more)
+            co_return error;
+        error = co_await receiveHttpBytes(stream, buffer, parser, minReadBytes);
+        if (error)
+            co_return error;
+    }
+}
+
 /// Reads the body of a message until it is complete, or until the parser needs another buffer for it (`need_buffer`). `feed` has to be
 /// the same for all calls of a message.
 template <typename Stream, bool isRequest, typename Body>
--- a/unit_tests/core/http_feed_test.cpp
+++ b/unit_tests/core/http_feed_test.cpp
@@ -134,3 +134,20 @@
         }
     }
 }
+
+// Guards against a line that begins with a blank, and whose field therefore becomes a part of the value before it.
+TEST_CASE("the head of an answer with a folded line is refused, wherever its bytes are split, and a body with such lines is not")
+{
+    for (auto bytes : { std::string("HTTP/1.1 200 OK\r\nField: x\r\n Content-Length: 4\r\n\r\nbody"),
+             std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\tField: x\r\n\r\nbody"),
+             std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n \r\n\r\nbody"), std::string("HTTP/1.1 200 OK\r\n \r\nContent-Length: 4\r\n\r\nbody") }) {
+        CAPTURE(bytes);
+        CHECK(parse<response_parser>(bytes, {}).isRefused);
+        CHECK(parse<response_parser>(bytes, everyByte(bytes)).isRefused);
+        for (auto cut = size_t { 1 }; cut < bytes.size(); ++cut)
+            CHECK(parse<response_parser>(bytes, { cut }).isRefused);
+    }
+    auto sound = std::string("HTTP/1.1 200 OK\r\nField: x y\r\nContent-Length: 9\r\n\r\na: x\r\n y\n");
+    CHECK(parse<response_parser>(sound, {}).body == "a: x\r\n y\n");
+    CHECK(parse<response_parser>(sound, everyByte(sound)).isDone);
+}
--- a/unit_tests/proxy/target_failure_test.cpp
+++ b/unit_tests/proxy/target_failure_test.cpp
@@ -97,6 +97,27 @@
     }
 }
 
+// Guards against answers with a field that no client can name, and against bodies that such a line frames in another way.
+TEST_CASE("an answer whose head has a field name with a blank or a control byte is no answer, and counts against the target")
+{
+    using namespace std::string_literals;
+    for (auto& line : { " Field: x"s, "\tField: x"s, "Fi eld: x"s, "Field : x"s, "Field\t: x"s, "\0Field: x"s, "F\x01: x"s, "Field\x7f: x"s, " Content-Length: 1"s,
+             "Content-Length : 1"s }) {
+        for (auto& head : { line + "\r\nContent-Length: 2\r\n", "Content-Length: 2\r\n" + line + "\r\n",
+                 "Content-Length: 2\r\nServer: s\r\n" + line + "\r\n" }) {
+            CAPTURE(head);
+            auto target = fake_raw_server("127.0.0.1", "HTTP/1.1 200 X\r\n" + head + "\r\nok", {});
+            auto fixture = proxy_fixture(0);
+            fixture.addresses.push_back({ "127.0.0.1", target.port() });
+            fixture.start();
+            auto answer = fixture.caller().request("POST", "/book", deadlineField(seconds(10)), "x");
+            CHECK(answer["Gypsumhub-Outcome"] == "unknown");
+            CHECK(answer.result_int() == 502);
+            CHECK(fixture.listener.count(attempt_result::CutAnswer) == 1);
+        }
+    }
+}
+
 // Guards against a server that ends itself when the last bytes of an empty answer arrive one by one.
 TEST_CASE("an empty answer in chunks is read also when its bytes arrive one by one")
 {
