--- a/unit_tests/gateway/invalid_field_name_test.cpp
+++ b/unit_tests/gateway/invalid_field_name_test.cpp
@@ -13,7 +13,7 @@
     std::string length { "Content-Length: 2\r\n" };
 };
 
-/// Names with a blank or a control byte at the begin, in the middle and at the end: of a field that the node does not know, and of those
+/// Names with a blank or a control byte at the start, in the middle and at the end: of a field that the node does not know, and of the two
 /// that frame the body.
 auto invalidLines() -> std::vector<invalid_line>
 {
@@ -30,7 +30,7 @@
     return lines;
 }
 
-/// Puts the answer's line with the invalid name first, last, or before the line that tells the length.
+/// A head with the invalid line in front of the field with the index `place`, or last.
 auto headWith(const invalid_line& invalid, size_t place, const std::string& id) -> std::string
 {
     auto fields = std::vector<std::string> { "Request-Id: " + id + "\r\n", "Upstream-Signature: s\r\n", invalid.length };
@@ -75,7 +75,7 @@
 
 } // namespace
 
-// Guards against answers with a field that no client can name, and against bodies that such a line frames in another way.
+// Guards against invalid lines that reach callers, and against bodies that such a line frames in another way.
 TEST_CASE("MIXED: an answer whose head has a field name with a blank or a control byte is no answer: 502, and the request is not run again")
 {
     auto fleet = gateway_fixture {};
--- a/unit_tests/gateway/unframed_answer_test.cpp
+++ b/unit_tests/gateway/unframed_answer_test.cpp
@@ -80,11 +80,11 @@
     auto fleet = gateway_fixture {};
     auto targets = first_answer_targets(fleet, maxBodyBytes, answerAndReset);
     for (auto path : { lengthPath, endPath }) {
+        auto name = std::string(path.substr(1, path.size() - 2));
         for (auto pause : pausesMs) {
-            auto id = "whole-" + std::to_string(pause);
-            CAPTURE(path);
+            auto id = name + "-" + std::to_string(pause);
             CAPTURE(id);
-            auto answer = upload("/unsafe" + std::string(path), id + std::string(path.substr(1, 3)), pause);
+            auto answer = upload("/unsafe" + std::string(path), id, pause);
             CHECK(answer.status == 200);
             CHECK(answer.body == "part");
         }
--- a/unit_tests/proxy/target_failure_test.cpp
+++ b/unit_tests/proxy/target_failure_test.cpp
@@ -97,7 +97,7 @@
     }
 }
 
-// Guards against answers with a field that no client can name, and against bodies that such a line frames in another way.
+// Guards against invalid lines that reach callers, and against bodies that such a line frames in another way.
 TEST_CASE("an answer whose head has a field name with a blank or a control byte is no answer, and counts against the target")
 {
     using namespace std::string_literals;
